Extract the event loop from the control state

Cause: a second control state (the one that follows the users' platform) needs the same thread and timers; a copy of the loop would drift. Change: internal/process/eventloop holds the generic loop, control.Loop embeds it.

--- a/internal/process/control/control_bench_test.go
+++ b/internal/process/control/control_bench_test.go
@@ -186,7 +186,7 @@
 			b.ReportAllocs()
 			for i := programs; b.Loop(); i++ {
 				benchTurn(b, s, program.Key{Customer: "customer-0000", Run: fmt.Sprintf("%s:%016d", benchProgram, i)})
-				s.step(time.Now())
+				s.Step(time.Now())
 			}
 		})
 	}
--- a/internal/process/control/limits.go
+++ b/internal/process/control/limits.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/eventloop"
 	"hornbeamvale.example/hornbeamvale/internal/process/limit"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
 	"hornbeamvale.example/hornbeamvale/internal/version"
@@ -182,7 +183,7 @@
 	if now.Before(s.limits.next) || !s.joined || s.limits.closed {
 		return
 	}
-	next := now.Add(idleStep)
+	next := now.Add(eventloop.IdleStep)
 	asks := map[string][]CustomerAsk{}
 	for customer, t := range s.limits.takers {
 		if ask, ok := t.NextAsk(now); ok {
--- a/internal/process/control/state.go
+++ b/internal/process/control/state.go
@@ -8,6 +8,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/process/configuration"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
+	"hornbeamvale.example/hornbeamvale/internal/process/eventloop"
 	"hornbeamvale.example/hornbeamvale/internal/process/journal"
 	"hornbeamvale.example/hornbeamvale/internal/process/member"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
@@ -140,8 +141,8 @@
 	s.dirty, s.viewDirty = true, true
 }
 
-// step starts the effects that are due and returns when it has to run next.
-func (s *State) step(now time.Time) time.Time {
+// Step starts the effects that are due and returns when it has to run next.
+func (s *State) Step(now time.Time) time.Time {
 	if !s.joined {
 		s.startJoin(now)
 	} else {
@@ -166,7 +167,7 @@
 }
 
 func (s *State) next(now time.Time) time.Time {
-	next := now.Add(idleStep)
+	next := now.Add(eventloop.IdleStep)
 	for _, t := range []time.Time{s.dueJournal(), s.duePoll(), s.dueJoin(), s.dueLimits(), s.dueConfirm(), s.dueReplicas(now), s.runs.NextDeadline(), s.nextExpire} {
 		if !t.IsZero() && t.Before(next) {
 			next = t
