--- a/bench/workload.go
+++ b/bench/workload.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/queue"
-	"hornbeamvale.example/hornbeamvale/internal/process/replica"
+	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
 )
 
 const (
@@ -107,7 +107,7 @@
 	p := &program{world: w, customer: fmt.Sprint("customer-", customer), run: fmt.Sprint("p:", w.started), began: w.loop.now, rng: rng}
 	p.turns = 1 + int(rng.ExpFloat64()*(w.d.meanTurns-1))
 	p.history = int64(w.d.firstPrompt * (0.5 + rng.Float64()))
-	p.vm = w.vms[replica.Hash(p.customer, p.run)%uint64(len(w.vms))]
+	p.vm = w.vms[hashing.Sum(p.customer, p.run)%uint64(len(w.vms))]
 	p.ideal = seconds(float64(p.history) / prefillRate)
 	p.nextTurn()
 }
--- a/cmd/hornbeamvaled/daemon.go
+++ b/cmd/hornbeamvaled/daemon.go
@@ -8,6 +8,7 @@
 	"flag"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -260,3 +261,13 @@
 	klog.InitFlags(fs)
 	_ = fs.Set("v", strconv.Itoa(level)) // a number is always accepted
 }
+
+// logToStandardOutput makes klog write to standard output.
+func logToStandardOutput() {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	_ = fs.Set("logtostderr", "false") // a known flag and a valid value
+	_ = fs.Set("alsologtostderr", "false")
+	_ = fs.Set("stderrthreshold", "4")
+	klog.SetOutput(os.Stdout)
+}
--- /dev/null
+++ b/cmd/hornbeamvaled/fleet.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
+	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
+	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
+	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/settings"
+	"hornbeamvale.example/hornbeamvale/internal/request/lending"
+	"hornbeamvale.example/hornbeamvale/internal/request/placement"
+	"hornbeamvale.example/hornbeamvale/internal/request/relay"
+	"hornbeamvale.example/hornbeamvale/platform/connection"
+	platformprocess "hornbeamvale.example/hornbeamvale/platform/process"
+	platformrequest "hornbeamvale.example/hornbeamvale/platform/request"
+	platformversion "hornbeamvale.example/hornbeamvale/platform/version"
+)
+
+const (
+	// turnCachePart is the part of the memory limit in which turns are kept, so that
+	// the next turn of a line needs no read of the store.
+	turnCachePart = 0.15
+	// heapPart is the part of the memory limit at which the collector works harder.
+	// The rest is for stacks, socket buffers and the runtime itself.
+	heapPart = 0.6
+	// drainPart is the part of the time to stop in which new requests are still taken:
+	// the load balancer sends new connections until two of its questions a second
+	// apart were answered with no.
+	drainPart = 0.35
+	// endPart is the part of the time to stop after which requests that still run are
+	// cut, so that the process ends by itself.
+	endPart = 0.93
+	// headerTimeout bounds the head of a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers. It exceeds the idle time that
+	// callers use, so that none sends a request while its connection closes.
+	idleTimeout = 2 * time.Minute
+)
+
+// fleetDaemon is the process of a VM that follows the platform's store.
+type fleetDaemon struct {
+	settings settings.Fleet
+	log      *decisionlog.Log
+	loop     *fleet.Loop
+	ledger   *ledger.Ledger
+	peers    *peer.Manager
+	replicas *connection.Replicas
+
+	callers, readiness, metrics *http.Server
+}
+
+// serveFleet runs the daemon until ctx ends and then shuts it down gracefully.
+func serveFleet(ctx context.Context, s settings.Fleet, reload <-chan os.Signal) error {
+	debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryBytes)))
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d, err := assembleFleet(running, s)
+	if err != nil {
+		return err
+	}
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	failed := make(chan error, 4)
+	wg.Go(func() { d.log.Run(running) })
+	wg.Go(func() { d.loop.Run(running) })
+	wg.Go(func() { d.ledger.Run(running) })
+	wg.Go(func() { report(failed, d.peers.Serve(running, listeners[0])) })
+	for i, server := range []*http.Server{d.callers, d.readiness, d.metrics} {
+		wg.Go(func() { report(failed, server.Serve(listeners[i+1])) })
+	}
+	klog.InfoS("Started", "vm", s.VM, "dataCentre", s.DataCentre, "callers", s.Callers, "peers", s.Peers, "store", s.Store)
+	if err = d.run(ctx, reload, failed); err == nil {
+		d.shutdown()
+	}
+	cancel()
+	d.peers.Close()
+	for _, server := range []*http.Server{d.callers, d.readiness, d.metrics} {
+		_ = server.Close()
+	}
+	wg.Wait()
+	klog.InfoS("Stopped", "vm", s.VM)
+	return err
+}
+
+// run waits for the signal to stop or a failure. The platform's settings of a running
+// process, its addresses and limits, do not change, so a reload only reports them.
+func (d *fleetDaemon) run(ctx context.Context, reload <-chan os.Signal, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return err
+		case <-reload:
+			d.reload()
+		}
+	}
+}
+
+func (d *fleetDaemon) reload() {
+	s, err := platformprocess.Load()
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded")
+		return
+	}
+	klog.InfoS("Settings reloaded", "changed", s != d.settings)
+}
+
+// assembleFleet builds the daemon from its settings.
+func assembleFleet(running context.Context, s settings.Fleet) (*fleetDaemon, error) {
+	store := connection.NewStore(s.Store)
+	log := decisionlog.New(nil)
+	server := &lending.Server{}
+	peers := peer.NewManager(s.VM, nil, server)
+	loop := fleet.NewLoop(fleet.Config{
+		Self:  fleet.Seat{VM: s.VM, Address: s.Peers.String(), DataCentre: s.DataCentre},
+		Store: store, Sources: platformversion.Sources(), Log: log,
+		Picker: placement.FleetPicker{Profile: placement.FleetProfile(), DataCentre: s.DataCentre},
+		Peers:  &lending.Remote{Manager: peers},
+	})
+	server.Loop = loop
+	d := &fleetDaemon{
+		settings: s, log: log, loop: loop, peers: peers, replicas: connection.NewReplicas(),
+		ledger: ledger.New(running, store, int(turnCachePart*float64(s.MemoryBytes))),
+	}
+	instruments, metrics, err := d.newMetrics()
+	if err != nil {
+		return nil, err
+	}
+	relays := &relay.Server{Loop: loop, Ledger: d.ledger, Replicas: d.replicas, Log: log, Metrics: instruments}
+	d.callers = &http.Server{
+		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, Draining: d.draining}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	d.readiness = &http.Server{
+		Handler:           platformrequest.Ready(func() error { return loop.Snapshot().Ready() }),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	d.metrics = &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}
+	return d, nil
+}
+
+func (d *fleetDaemon) maxBodyBytes() int {
+	if t := d.loop.Snapshot().Table; t != nil {
+		return t.Limits.MaxBodyBytes
+	}
+	return 0
+}
+
+func (d *fleetDaemon) draining() bool { return d.loop.Snapshot().Draining }
+
+func (d *fleetDaemon) listen() ([]net.Listener, error) {
+	var out []net.Listener
+	for _, a := range []netip.AddrPort{d.settings.Peers, d.settings.Callers, d.settings.Ready, d.settings.Metrics} {
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// shutdown ends the process without cutting a request: the load balancer sees that
+// the VM is not ready, callers are told to close their connections, and running
+// requests end.
+func (d *fleetDaemon) shutdown() {
+	klog.InfoS("Stopping", "vm", d.settings.VM, "within", d.settings.StopWithin)
+	within := float64(d.settings.StopWithin)
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(endPart*within))
+	defer cancel()
+	done := make(chan struct{})
+	if d.loop.Post(limit, fleet.Drain{Done: done}) != nil {
+		return
+	}
+	<-done
+	timer := time.NewTimer(time.Duration(drainPart * within))
+	defer timer.Stop()
+	<-timer.C
+	if err := d.callers.Shutdown(limit); err != nil {
+		klog.ErrorS(err, "Requests were still running when the time to stop was over")
+	}
+}
--- /dev/null
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"hornbeamvale.example/hornbeamvale/internal/request/relay"
+)
+
+// newMetrics registers the process's instruments and returns those of requests and
+// the page.
+func (d *fleetDaemon) newMetrics() (*relay.Metrics, http.Handler, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, nil, err
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("hornbeamvale")
+	requests, err := relay.NewMetrics(meter)
+	if err != nil {
+		return nil, nil, err
+	}
+	m := &observer{meter: meter}
+	cpu := m.seconds("hornbeamvale_control_cpu", "CPU time of the control thread")
+	events := m.count("hornbeamvale_control_events", "Events applied by the control loop")
+	version := m.gauge("hornbeamvale_configuration_version", "Configuration version in force")
+	replicas := m.gauge("hornbeamvale_replicas", "Replicas on the list")
+	seats := m.gauge("hornbeamvale_seats", "VMs that share the customers' rates")
+	ready := m.gauge("hornbeamvale_ready", "1 if this VM takes traffic")
+	dropped := m.count("hornbeamvale_log_entries_dropped", "Log lines dropped because too many waited")
+	transactions := m.count("hornbeamvale_ledger_transactions", "Transactions for turns and budgets")
+	conflicts := m.count("hornbeamvale_ledger_conflicts", "Transactions that another VM came before")
+	reads := m.count("hornbeamvale_ledger_reads", "Reads of turns and budgets")
+	retries := m.count("hornbeamvale_ledger_retries", "Transactions that failed and were tried again")
+	dials := m.count("hornbeamvale_replica_connections", "Connections opened to replicas")
+	if m.err != nil {
+		return nil, nil, m.err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s, l := d.loop.Snapshot(), d.ledger.Counters()
+		if s.Table != nil {
+			o.ObserveInt64(version, int64(s.Table.Number))
+		}
+		o.ObserveFloat64(cpu, d.loop.CPU().Seconds())
+		o.ObserveInt64(events, d.loop.Events())
+		o.ObserveInt64(replicas, int64(s.Replicas))
+		o.ObserveInt64(seats, int64(len(s.Seats)))
+		o.ObserveInt64(ready, boolMetric(s.Ready() == nil))
+		o.ObserveInt64(dropped, d.log.Dropped())
+		o.ObserveInt64(transactions, l.Transactions)
+		o.ObserveInt64(conflicts, l.Conflicts)
+		o.ObserveInt64(reads, l.Reads)
+		o.ObserveInt64(retries, l.Retries)
+		o.ObserveInt64(dials, d.replicas.Dials())
+		return nil
+	}, cpu, events, version, replicas, seats, ready, dropped, transactions, conflicts, reads, retries, dials)
+	if err != nil {
+		return nil, nil, err
+	}
+	return requests, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
+}
--- a/cmd/hornbeamvaled/main.go
+++ b/cmd/hornbeamvaled/main.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
+	platformprocess "hornbeamvale.example/hornbeamvale/platform/process"
 )
 
 // The exit codes.
@@ -23,7 +24,8 @@
 )
 
 type options struct {
-	Config        string `long:"config" required:"true" value-name:"FILE" description:"settings file"`
+	Config        string `long:"config" value-name:"FILE" description:"settings file"`
+	Platform      bool   `long:"platform" description:"take the settings from the platform and follow its store"`
 	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
 }
 
@@ -38,6 +40,13 @@
 		}
 		return exitUsage
 	}
+	if o.Platform == (o.Config != "") {
+		fmt.Fprintln(os.Stderr, "exactly one of --config and --platform is required")
+		return exitUsage
+	}
+	if o.Platform {
+		return runFleet(o)
+	}
 	s, err := settings.Load(o.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -57,3 +66,27 @@
 	}
 	return 0
 }
+
+// runFleet runs the daemon with the platform's settings.
+func runFleet(o options) int {
+	s, err := platformprocess.Load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.CheckSettings {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	logToStandardOutput()
+	defer klog.Flush()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := serveFleet(ctx, s, reload); err != nil {
+		klog.ErrorS(err, "The daemon ended with an error")
+		return exitFailure
+	}
+	return 0
+}
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -37,7 +37,9 @@
 	EventPage     Type = 51
 	StatusQuery   Type = 52
 	StatusPage    Type = 53
-	typeLimit          = 54 // one more than the largest type
+	ShareAsk      Type = 60
+	ShareGrant    Type = 61
+	typeLimit          = 62 // one more than the largest type
 )
 
 // role says what a message does when its stream id is new to the receiver.
@@ -53,7 +55,7 @@
 	switch t {
 	case TurnRequest:
 		return roleStream
-	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery:
+	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk:
 		return roleCall
 	}
 	return roleNone
--- a/internal/connection/peer/names.go
+++ b/internal/connection/peer/names.go
@@ -7,7 +7,7 @@
 	TurnCancel: "turn_cancel", TurnCredit: "turn_credit", RunEnd: "run_end", RunSettle: "run_settle",
 	LimitAsk: "limit_ask", LimitGrant: "limit_grant", ConfigNotice: "config_notice", ConfigConfirm: "config_confirm",
 	SlotNotice: "slot_notice", EventQuery: "event_query", EventPage: "event_page",
-	StatusQuery: "status_query", StatusPage: "status_page",
+	StatusQuery: "status_query", StatusPage: "status_page", ShareAsk: "share_ask", ShareGrant: "share_grant",
 }
 
 // Types returns the names of all message types.
--- /dev/null
+++ b/internal/process/fleet/watch.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/replica"
+	"hornbeamvale.example/hornbeamvale/internal/version/routing"
+)
+
+const (
+	// changeWait is how long a read of changes waits for one. A connection that has
+	// fallen silent shows only by the timeout, and a configuration has to be in
+	// force within 2 s.
+	changeWait = time.Second
+	// changeSlack is what a read of changes may take beyond its wait.
+	changeSlack = 500 * time.Millisecond
+	// readTimeout bounds the read of a whole table.
+	readTimeout = time.Second
+	// watchPause is the wait after a failed read.
+	watchPause = 200 * time.Millisecond
+	// outageMemory is how long after a failed call the disappearance of a replica's
+	// listing may be due to the outage. Listings lapse after three heartbeats.
+	outageMemory = 6 * time.Second
+	// listingGrace is how long a listing that may have lapsed in an outage is still
+	// used: the replica is back on the list within about 2 s if it lives.
+	listingGrace = 2300 * time.Millisecond
+)
+
+// storeHealth is what the watchers know of the store.
+type storeHealth struct{ failedAt time.Time }
+
+// note keeps the time of a failed call and logs a change of state.
+func (l *Loop) note(what string, err error) {
+	before := l.stored.Load().failedAt
+	now := time.Now()
+	if err != nil {
+		l.stored.Store(&storeHealth{failedAt: now})
+	}
+	if err != nil && now.Sub(before) > outageMemory {
+		l.config.Log.State("Store call failed", "call", what, "err", err)
+	}
+}
+
+// watcher follows one table: a whole read, then its changes.
+type watcher struct {
+	name  string
+	store platform.PartedStore
+	table string
+	// whole and changed take rows; whole is called after the history was lost, too.
+	whole, changed func(ctx context.Context, p platform.Page)
+	note           func(what string, err error)
+}
+
+// run follows the table until ctx ends.
+func (w watcher) run(ctx context.Context) {
+	var after uint64
+	read := false
+	for ctx.Err() == nil {
+		page, err := w.read(ctx, after, read)
+		w.note(w.name, err)
+		var pe *platform.Error
+		switch {
+		case errors.As(err, &pe) && pe.Kind == platform.HistoryGone:
+			read = false
+		case err != nil:
+			sleep(ctx, watchPause)
+		case !read:
+			w.whole(ctx, page)
+			after, read = page.Revision, true
+		default:
+			w.changed(ctx, page)
+			after = page.Revision
+		}
+	}
+}
+
+func (w watcher) read(ctx context.Context, after uint64, read bool) (platform.Page, error) {
+	if !read {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		return w.store.Range(ctx, platform.RangeQuery{Table: w.table})
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeWait+changeSlack)
+	defer cancel()
+	return w.store.Changes(ctx, w.table, after, changeWait)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (l *Loop) watchConfiguration(ctx context.Context) {
+	take := func(ctx context.Context, p platform.Page) {
+		e := configurationRead{at: time.Now()}
+		for _, row := range p.Rows {
+			if row.Key.Key != l.config.Sources.Configuration.Key || row.Deleted {
+				continue
+			}
+			table, err := l.config.Sources.DecodeTable(row.Value)
+			if err != nil {
+				l.config.Log.State("Configuration not applied", "revision", row.Revision, "err", err)
+				continue
+			}
+			e.table = table
+		}
+		l.post(ctx, e)
+	}
+	watcher{
+		name: "configuration", store: l.config.Store, table: l.config.Sources.Configuration.Table,
+		whole: take, changed: take, note: l.note,
+	}.run(ctx)
+}
+
+// configurationRead says that the store was read: table is the newest one, nil if
+// it has not changed.
+type configurationRead struct {
+	table *routing.Table
+	at    time.Time
+}
+
+// Apply implements Event. A version never goes back, so a late answer of an earlier
+// read changes nothing.
+func (e configurationRead) Apply(s *State, now time.Time) {
+	s.confirmed, s.dirty = e.at, true
+	if e.table == nil || s.table != nil && e.table.Number <= s.table.Number {
+		return
+	}
+	s.config.Log.State("Configuration in force", "version", e.table.Number)
+	s.table = e.table
+	s.applyRates(now)
+}
+
+func (l *Loop) watchReplicas(ctx context.Context) {
+	watcher{
+		name: "replicas", store: l.config.Store, table: l.config.Sources.ReplicaTable, note: l.note,
+		whole:   func(ctx context.Context, p platform.Page) { l.post(ctx, l.listings(p, true)) },
+		changed: func(ctx context.Context, p platform.Page) { l.post(ctx, l.listings(p, false)) },
+	}.run(ctx)
+}
+
+// listings decodes replica rows. A row that cannot be read names no replica.
+func (l *Loop) listings(p platform.Page, whole bool) replicasRead {
+	e := replicasRead{whole: whole}
+	if failed := l.stored.Load().failedAt; !failed.IsZero() && time.Since(failed) < outageMemory {
+		e.absentAt = time.Now().Add(listingGrace)
+	}
+	for _, row := range p.Rows {
+		if row.Deleted {
+			e.removed = append(e.removed, row.Key.Key)
+			continue
+		}
+		listing, err := l.config.Sources.DecodeListing(row.Key.Key, row.Value)
+		if err != nil {
+			l.config.Log.State("Replica entry not usable", "replica", row.Key.Key, "err", err)
+			e.removed = append(e.removed, row.Key.Key)
+			continue
+		}
+		e.listed = append(e.listed, listing)
+	}
+	return e
+}
+
+// replicasRead is a read of the replicas' table or of its changes.
+type replicasRead struct {
+	whole    bool
+	listed   []replica.Listing
+	removed  []string
+	absentAt time.Time // when removed replicas are dropped; zero means at once
+}
+
+// Apply implements Event.
+func (e replicasRead) Apply(s *State, _ time.Time) {
+	if e.whole {
+		s.replicas.Replace(e.listed, e.absentAt)
+	}
+	for _, l := range e.listed {
+		s.replicas.List(l)
+	}
+	for _, id := range e.removed {
+		s.replicas.Remove(id, e.absentAt)
+	}
+	if len(e.listed)+len(e.removed) > 0 {
+		s.config.Log.State("Replicas changed", "listed", len(e.listed), "removed", len(e.removed), "whole", e.whole, "all", s.replicas.Count())
+	}
+	s.dirty = true
+}
--- /dev/null
+++ b/internal/process/ledger/ledger.go
@@ -0,0 +1,213 @@
+// Package ledger keeps the turns and budgets of programs in the platform's store.
+// No VM owns a program: the conditions of the store decide between VMs, so that a
+// program goes on through any VM, also after all processes were killed.
+//
+// A group's rows stand together: the account under the group's name, each turn
+// below it. A turn and its settlement are one transaction, which is committed
+// before the turn's answer ends.
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+)
+
+// The tables.
+const (
+	programTable = "programs"   // accounts and turns, by group
+	indexTable   = "turn-index" // the group of each turn
+)
+
+const (
+	// retryPause is the wait after a failed call of the store, about ten times a
+	// call's usual time.
+	retryPause = 40 * time.Millisecond
+	// callTimeout bounds one call of the store. Answers take 4 ms and up to 60 times
+	// as long while the store is slow; a lost answer shows only by the timeout.
+	callTimeout = 400 * time.Millisecond
+	// settleFor is how long a settlement without a waiting caller is tried. It
+	// exceeds the outages of the store; after it the reservation stays, which can
+	// only make the budget smaller.
+	settleFor = 30 * time.Second
+	// idleAfter is how long an unused account stays in memory.
+	idleAfter = 30 * time.Second
+	// janitorInterval is the time between two looks for what has expired.
+	janitorInterval = 5 * time.Second
+)
+
+// ErrBudget means that the turn's bound does not fit into the program's budget. It
+// was decided on the store's state and the turn has no reservation.
+var ErrBudget = errors.New("the program's budget does not hold the turn")
+
+// ErrNoTurn means that the store holds no such turn of the customer.
+var ErrNoTurn = errors.New("no such turn")
+
+// Error is this package's error. The cause is ErrBudget, ErrNoTurn, a
+// *platform.Error or the error of an ended context.
+type Error struct {
+	Op   string
+	Turn string
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("ledger %s of turn %s: %v", e.Op, e.Turn, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Counters count the ledger's work.
+type Counters struct {
+	Transactions, Conflicts, Reads, Retries int64
+}
+
+// Ledger is one VM's access to the records. It is safe for concurrent use: it is
+// used by the goroutines of requests.
+type Ledger struct {
+	store platform.PartedStore
+	now   func() time.Time
+	ctx   context.Context
+
+	mu       sync.Mutex
+	accounts map[turntree.Group]*account
+	turns    *turnCache
+	counters Counters
+	wait     sync.WaitGroup
+}
+
+// New returns a ledger that works until ctx ends and keeps up to cacheBytes of
+// turns in memory.
+func New(ctx context.Context, store platform.PartedStore, cacheBytes int) *Ledger {
+	return &Ledger{store: store, now: time.Now, ctx: ctx, accounts: map[turntree.Group]*account{}, turns: newTurnCache(cacheBytes)}
+}
+
+// Counters returns what the ledger has done so far.
+func (l *Ledger) Counters() Counters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counters
+}
+
+// Reservation asks for a turn's part of its program's budget.
+type Reservation struct {
+	Group    turntree.Group
+	Customer string
+	// Turn is the request's id.
+	Turn string
+	// Most is the largest number of tokens that the turn generates, Budget that of
+	// all turns of the program; 0 means no bound.
+	Most, Budget int64
+	// First says that the program probably has no record yet.
+	First bool
+}
+
+// Reserve makes the turn's bound durable before the turn is dispatched. After any
+// error but ErrBudget the reservation may stand, and the caller has to Settle it.
+func (l *Ledger) Reserve(ctx context.Context, r Reservation) error {
+	return l.change(ctx, r.Group, r.First, &change{
+		op: "reserve", turn: r.Turn,
+		apply: func(a *turntree.Account) ([]platform.Write, error) {
+			a.Customer = r.Customer
+			if !a.Reserve(r.Turn, r.Most, r.Budget) {
+				return nil, ErrBudget
+			}
+			return nil, nil
+		},
+	})
+}
+
+// Settle replaces a reservation by the tokens that callers received. It returns at
+// once and is tried until it is durable.
+func (l *Ledger) Settle(group turntree.Group, turn string, used int64) {
+	l.wait.Go(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, settleFor)
+		defer cancel()
+		// A failure leaves the reservation, which counts as spent.
+		_ = l.change(ctx, group, false, &change{
+			op: "settle", turn: turn,
+			apply: func(a *turntree.Account) ([]platform.Write, error) {
+				a.Settle(turn, used)
+				return nil, nil
+			},
+		})
+	})
+}
+
+// Ended is a turn whose answer is complete.
+type Ended struct {
+	Group turntree.Group
+	ID    string
+	Turn  turntree.Turn
+	// Used is the number of tokens in the answer.
+	Used int64
+	// Line is the line that the turn continues, as returned by Line.
+	Line Line
+	// Retention is how long the turn is kept.
+	Retention time.Duration
+}
+
+// Record makes an ended turn durable together with its settlement. The answer must
+// not end before it has returned without an error.
+func (l *Ledger) Record(ctx context.Context, e Ended) error {
+	writes, err := turnWrites(e)
+	if err != nil {
+		return &Error{Op: "record", Turn: e.ID, Err: err}
+	}
+	err = l.change(ctx, e.Group, false, &change{
+		op: "record", turn: e.ID, retention: e.Retention,
+		apply: func(a *turntree.Account) ([]platform.Write, error) {
+			a.Settle(e.ID, e.Used)
+			return writes, nil
+		},
+	})
+	if err == nil {
+		l.mu.Lock()
+		l.turns.add(e.ID, e.Turn, e.Group)
+		l.mu.Unlock()
+	}
+	return err
+}
+
+// turnWrites returns the rows of an ended turn. Turns of other groups that it
+// continues are copied, so that each group can expire by itself.
+func turnWrites(e Ended) ([]platform.Write, error) {
+	writes, err := chunked(turnKey(e.Group, e.ID), e.Turn)
+	if err != nil {
+		return nil, err
+	}
+	writes = append(writes, platform.Write{Key: platform.Key{Table: indexTable, Key: e.ID}, Value: []byte(e.Group)})
+	for _, t := range e.Line.turns {
+		if t.group == e.Group {
+			continue
+		}
+		copied, err := chunked(turnKey(e.Group, t.id), t.turn)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, copied...)
+	}
+	return writes, nil
+}
+
+func turnKey(g turntree.Group, id string) string { return string(g) + "/" + id }
+
+// Run expires what is no longer needed until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	ticker := time.NewTicker(janitorInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.wait.Wait()
+			return
+		case <-ticker.C:
+			l.expire(ctx)
+		}
+	}
+}
--- a/internal/process/queue/allowance.go
+++ b/internal/process/queue/allowance.go
@@ -1,6 +1,6 @@
 package queue
 
-import "hornbeamvale.example/hornbeamvale/internal/process/replica"
+import "hornbeamvale.example/hornbeamvale/internal/version/hashing"
 
 // Allowance returns how many calls a VM may have in flight at a replica whose
 // bound for the whole fleet is maxConcurrent; part is the VM's part of it, in
@@ -13,7 +13,7 @@
 	if whole := int(share + 1e-9); whole >= 1 {
 		return whole
 	}
-	if replica.HashUnit("allowance", vm, name) < share {
+	if hashing.Unit("allowance", vm, name) < share {
 		return 1
 	}
 	return 0
--- a/internal/process/replica/failure.go
+++ b/internal/process/replica/failure.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
 )
 
 const (
@@ -55,6 +57,6 @@
 	if n < 5 { // 2^5 s is above the maximum
 		b = firstBackOff << n
 	}
-	jitter := jitterLow + jitterSpan*HashUnit("back-off", vm, replica, strconv.Itoa(n))
+	jitter := jitterLow + jitterSpan*hashing.Unit("back-off", vm, replica, strconv.Itoa(n))
 	return time.Duration(float64(b) * jitter)
 }
--- a/internal/process/replica/view.go
+++ b/internal/process/replica/view.go
@@ -24,7 +24,8 @@
 
 // Candidate is a replica as placement sees it.
 type Candidate struct {
-	Replica    string // address, which identifies the replica
+	Replica    string // identifies the replica: its address, or its id in a Registry
+	Address    string // where it listens, from a Registry only
 	DataCentre string // empty for an address of the configuration
 	// Leaving says that the replica leaves or is drained.
 	Leaving bool
@@ -40,6 +41,9 @@
 	Slots int
 	// MaxConcurrent is the configured bound for the whole fleet.
 	MaxConcurrent int
+	// Slowness is the replica's service time relative to the others of its endpoint;
+	// 1 is usual, 0 is unknown.
+	Slowness float64
 }
 
 type entry struct {
--- a/internal/request/placement/leastload.go
+++ b/internal/request/placement/leastload.go
@@ -1,6 +1,9 @@
 package placement
 
-import "hornbeamvale.example/hornbeamvale/internal/process/replica"
+import (
+	"hornbeamvale.example/hornbeamvale/internal/process/replica"
+	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
+)
 
 const (
 	// loadSeconds is the assumed delay that a full batch adds to a call.
@@ -33,7 +36,7 @@
 	var names [2]string
 	var hashes [2]uint64
 	for _, c := range cs {
-		h := replica.Hash("choice", id, c.Replica)
+		h := hashing.Sum("choice", id, c.Replica)
 		switch {
 		case names[0] == "" || h > hashes[0]:
 			names[1], hashes[1] = names[0], hashes[0]
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -23,6 +23,8 @@
 	Prefixes map[string]int64
 	// Excluded holds the replicas at which an earlier attempt failed.
 	Excluded map[string]bool
+	// Service is the usual time of such a request; 0 if not known.
+	Service time.Duration
 
 	choices [2]string // set by Pick, see LeastLoad
 }
--- a/internal/request/placement/profile.go
+++ b/internal/request/placement/profile.go
@@ -1,6 +1,9 @@
 package placement
 
-import "hornbeamvale.example/hornbeamvale/internal/process/replica"
+import (
+	"hornbeamvale.example/hornbeamvale/internal/process/replica"
+	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
+)
 
 // WeightedScore is a score with its weight.
 type WeightedScore struct {
@@ -36,7 +39,7 @@
 	r.choices = twoChoices(r.ID, kept)
 	best, bestScore, bestHash := 0, 0.0, uint64(0)
 	for i, c := range kept {
-		score, hash := p.score(r, c), replica.Hash("tie", r.ID, c.Replica)
+		score, hash := p.score(r, c), hashing.Sum("tie", r.ID, c.Replica)
 		if i == 0 || score > bestScore || score == bestScore && hash > bestHash {
 			best, bestScore, bestHash = i, score, hash
 		}
--- a/internal/process/replica/hash.go
+++ b/internal/version/hashing/hashing.go
@@ -1,4 +1,5 @@
-package replica
+// Package hashing spreads names evenly; every process computes the same hashes.
+package hashing
 
 // Parameters of 64-bit FNV-1a and of the finalizer of SplitMix64. FNV-1a alone
 // leaves the high bits of short names correlated.
@@ -9,8 +10,8 @@
 	mixB      = 0x94d049bb133111eb
 )
 
-// Hash returns a hash of the parts that is the same in every process.
-func Hash(parts ...string) uint64 {
+// Sum returns a hash of the parts that is the same in every process.
+func Sum(parts ...string) uint64 {
 	h := uint64(fnvOffset)
 	for _, p := range parts {
 		for i := range len(p) {
@@ -23,7 +24,7 @@
 	return h ^ h>>31
 }
 
-// HashUnit returns Hash as a number in [0, 1).
-func HashUnit(parts ...string) float64 {
-	return float64(Hash(parts...)>>11) / (1 << 53)
+// Unit returns Sum as a number in [0, 1).
+func Unit(parts ...string) float64 {
+	return float64(Sum(parts...)>>11) / (1 << 53)
 }
--- a/internal/version/refusal/refusal.go
+++ b/internal/version/refusal/refusal.go
@@ -44,6 +44,11 @@
 	Overloaded             Code = "overloaded"
 	Stopping               Code = "stopping"
 	Internal               Code = "internal"
+	RouteUnknown           Code = "route_unknown"
+	TurnUnknown            Code = "turn_unknown"
+	NoConfiguration        Code = "no_configuration"
+	TimeLimit              Code = "time_limit"
+	TooLarge               Code = "too_large"
 )
 
 // Refusal is the error that a caller receives in place of an answer.
