Reach the store through other VMs while it turns this one away

Change: internal/process/storepath makes calls directly or at another VM, asks the VM that helped last, and tells an outage from isolation. An isolated VM is not ready and refuses at once. Turns wait 800 ms for the store.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,8 +17,10 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
-	"hornbeamvale.example/hornbeamvale/internal/request/lending"
+	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
+	"hornbeamvale.example/hornbeamvale/internal/request/fleetrpc"
 	"hornbeamvale.example/hornbeamvale/internal/request/placement"
 	"hornbeamvale.example/hornbeamvale/internal/request/relay"
 	"hornbeamvale.example/hornbeamvale/platform/connection"
@@ -52,6 +55,7 @@
 	settings settings.Fleet
 	log      *decisionlog.Log
 	loop     *fleet.Loop
+	store    *storepath.Path
 	ledger   *ledger.Ledger
 	peers    *peer.Manager
 	replicas *connection.Replicas
@@ -77,6 +81,7 @@
 	wg.Go(func() { d.log.Run(running) })
 	wg.Go(func() { d.loop.Run(running) })
 	wg.Go(func() { d.ledger.Run(running) })
+	wg.Go(func() { d.store.Run(running, platform.RangeQuery{Table: fleet.SeatTable}) })
 	wg.Go(func() { report(failed, d.peers.Serve(running, listeners[0])) })
 	for i, server := range []*http.Server{d.callers, d.readiness, d.metrics} {
 		wg.Go(func() { report(failed, server.Serve(listeners[i+1])) })
@@ -121,32 +126,35 @@
 
 // assembleFleet builds the daemon from its settings.
 func assembleFleet(running context.Context, s settings.Fleet) (*fleetDaemon, error) {
-	store := connection.NewStore(s.Store)
 	log := decisionlog.New(nil)
-	server := &lending.Server{}
-	peers := peer.NewManager(s.VM, nil, server)
-	loop := fleet.NewLoop(fleet.Config{
+	server := &fleetrpc.Server{}
+	d := &fleetDaemon{
+		settings: s, log: log, replicas: connection.NewReplicas(), peers: peer.NewManager(s.VM, nil, server),
+	}
+	d.store = storepath.New(connection.NewStore(s.Store), d.helpers, func(state storepath.State) {
+		log.Request("Way to the store changed", "state", state)
+	})
+	d.loop = fleet.NewLoop(fleet.Config{
 		Self:  fleet.Seat{VM: s.VM, Address: s.Peers.String(), DataCentre: s.DataCentre},
-		Store: store, Sources: platformversion.Sources(), Log: log,
+		Store: d.store, Sources: platformversion.Sources(), Log: log,
 		Picker: placement.FleetPicker{Profile: placement.FleetProfile(), DataCentre: s.DataCentre},
-		Peers:  &lending.Remote{Manager: peers},
+		Peers:  &fleetrpc.Remote{Manager: d.peers},
 	})
-	server.Loop = loop
-	d := &fleetDaemon{
-		settings: s, log: log, loop: loop, peers: peers, replicas: connection.NewReplicas(),
-		ledger: ledger.New(running, store, int(turnCachePart*float64(s.MemoryBytes))),
-	}
+	server.Loop, server.Path = d.loop, d.store
+	d.ledger = ledger.New(running, d.store, int(turnCachePart*float64(s.MemoryBytes)))
 	instruments, metrics, err := d.newMetrics()
 	if err != nil {
 		return nil, err
 	}
-	relays := &relay.Server{Loop: loop, Ledger: d.ledger, Replicas: d.replicas, Log: log, Metrics: instruments}
+	relays := &relay.Server{
+		Loop: d.loop, Ledger: d.ledger, Replicas: d.replicas, Store: d.store, Log: log, Metrics: instruments,
+	}
 	d.callers = &http.Server{
-		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, Draining: d.draining}),
+		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, Leaving: d.leaving}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	d.readiness = &http.Server{
-		Handler:           platformrequest.Ready(func() error { return loop.Snapshot().Ready() }),
+		Handler:           platformrequest.Ready(d.ready),
 		ReadHeaderTimeout: headerTimeout,
 	}
 	d.metrics = &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}
@@ -160,7 +168,36 @@
 	return 0
 }
 
-func (d *fleetDaemon) draining() bool { return d.loop.Snapshot().Draining }
+// leaving says that callers should connect to other VMs.
+func (d *fleetDaemon) leaving() bool {
+	return d.loop.Snapshot().Draining || d.store.State() == storepath.Isolated
+}
+
+var errIsolated = errors.New("neither the store nor another VM answers")
+
+// ready returns why the load balancer should send no new connections, or nil. A VM
+// that nobody else reaches can serve no turns; if the store is down for all, no
+// other VM is better.
+func (d *fleetDaemon) ready() error {
+	if err := d.loop.Snapshot().Ready(); err != nil {
+		return err
+	}
+	if d.store.State() == storepath.Isolated {
+		return errIsolated
+	}
+	return nil
+}
+
+// helpers returns the other VMs for calls of the store.
+func (d *fleetDaemon) helpers() []storepath.Helper {
+	var out []storepath.Helper
+	for _, seat := range d.loop.Snapshot().Seats {
+		if seat.VM != d.settings.VM {
+			out = append(out, fleetrpc.Helper{Manager: d.peers, Seat: seat})
+		}
+	}
+	return out
+}
 
 func (d *fleetDaemon) listen() ([]net.Listener, error) {
 	var out []net.Listener
--- a/cmd/hornbeamvaled/fleetmetrics.go
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -38,6 +38,8 @@
 	conflicts := m.count("hornbeamvale_ledger_conflicts", "Transactions that another VM came before")
 	reads := m.count("hornbeamvale_ledger_reads", "Reads of turns and budgets")
 	retries := m.count("hornbeamvale_ledger_retries", "Transactions that failed and were tried again")
+	detoured := m.count("hornbeamvale_store_detours", "Calls of the store that went through another VM")
+	state := m.gauge("hornbeamvale_store_state", "Way to the store: 0 direct, 1 through other VMs, 2 down, 3 isolated")
 	dials := m.count("hornbeamvale_replica_connections", "Connections opened to replicas")
 	if m.err != nil {
 		return nil, nil, m.err
@@ -51,15 +53,17 @@
 		o.ObserveInt64(events, d.loop.Events())
 		o.ObserveInt64(replicas, int64(s.Replicas))
 		o.ObserveInt64(seats, int64(len(s.Seats)))
-		o.ObserveInt64(ready, boolMetric(s.Ready() == nil))
+		o.ObserveInt64(ready, boolMetric(d.ready() == nil))
 		o.ObserveInt64(dropped, d.log.Dropped())
 		o.ObserveInt64(transactions, l.Transactions)
 		o.ObserveInt64(conflicts, l.Conflicts)
 		o.ObserveInt64(reads, l.Reads)
 		o.ObserveInt64(retries, l.Retries)
 		o.ObserveInt64(dials, d.replicas.Dials())
+		o.ObserveInt64(detoured, d.store.Detoured())
+		o.ObserveInt64(state, int64(d.store.State()))
 		return nil
-	}, cpu, events, version, replicas, seats, ready, dropped, transactions, conflicts, reads, retries, dials)
+	}, cpu, events, version, replicas, seats, ready, dropped, transactions, conflicts, reads, retries, dials, detoured, state)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -39,7 +39,9 @@
 	StatusPage    Type = 53
 	ShareAsk      Type = 60
 	ShareGrant    Type = 61
-	typeLimit          = 62 // one more than the largest type
+	StoreAsk      Type = 62
+	StoreReply    Type = 63
+	typeLimit          = 64 // one more than the largest type
 )
 
 // role says what a message does when its stream id is new to the receiver.
@@ -55,7 +57,7 @@
 	switch t {
 	case TurnRequest:
 		return roleStream
-	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk:
+	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk, StoreAsk:
 		return roleCall
 	}
 	return roleNone
--- a/internal/connection/peer/names.go
+++ b/internal/connection/peer/names.go
@@ -8,6 +8,7 @@
 	LimitAsk: "limit_ask", LimitGrant: "limit_grant", ConfigNotice: "config_notice", ConfigConfirm: "config_confirm",
 	SlotNotice: "slot_notice", EventQuery: "event_query", EventPage: "event_page",
 	StatusQuery: "status_query", StatusPage: "status_page", ShareAsk: "share_ask", ShareGrant: "share_grant",
+	StoreAsk: "store_ask", StoreReply: "store_reply",
 }
 
 // Types returns the names of all message types.
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -11,9 +11,10 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 )
 
+// SeatTable holds one row for each VM of the fleet, under its address.
+const SeatTable = "fleet-seats"
+
 const (
-	// seatTable holds one row for each VM of the fleet, under its address.
-	seatTable = "fleet-seats"
 	// seatPoll is the time between two reads of the seats.
 	seatPoll = 2 * time.Second
 	// seatRenewal is the time between two writes of the own seat. A seat that was not
@@ -132,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	_, err = l.config.Store.Transact(ctx, platform.PartedTx{Tx: platform.Tx{
-		Writes: []platform.Write{{Key: platform.Key{Table: seatTable, Key: self.Address}, Value: value}},
+		Writes: []platform.Write{{Key: platform.Key{Table: SeatTable, Key: self.Address}, Value: value}},
 	}})
 	return err
 }
@@ -140,7 +141,7 @@
 func (l *Loop) readSeats(ctx context.Context) (seatsRead, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	page, err := l.config.Store.Range(callCtx, platform.RangeQuery{Table: seatTable})
+	page, err := l.config.Store.Range(callCtx, platform.RangeQuery{Table: SeatTable})
 	if err != nil {
 		return seatsRead{}, err
 	}
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -77,6 +77,7 @@
 // flush commits the waiting changes of an account until none is left.
 func (l *Ledger) flush(g turntree.Group, a *account) {
 	var batch []*change
+	wait := retryPause
 	for {
 		l.mu.Lock()
 		batch = waiting(append(batch, a.queue...))
@@ -89,12 +90,14 @@
 		l.mu.Unlock()
 		left, err := l.commit(g, a, batch)
 		batch = left
-		if err != nil && !l.pause(batch) {
-			for _, c := range batch {
-				c.done <- err
-			}
-			batch = nil
+		if err == nil {
+			wait = retryPause
+			continue
+		}
+		if !l.pause(wait) {
+			batch = finish(batch, err)
 		}
+		wait = min(2*wait, maxRetryPause)
 	}
 }
 
@@ -110,8 +113,8 @@
 }
 
 // pause waits before the next try; false if the ledger ends.
-func (l *Ledger) pause([]*change) bool {
-	timer := time.NewTimer(retryPause)
+func (l *Ledger) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -26,8 +26,9 @@
 
 const (
 	// retryPause is the wait after a failed call of the store, about ten times a
-	// call's usual time.
-	retryPause = 40 * time.Millisecond
+	// call's usual time. It doubles up to maxRetryPause.
+	retryPause    = 40 * time.Millisecond
+	maxRetryPause = 320 * time.Millisecond
 	// callTimeout bounds one call of the store. Answers take 4 ms and up to 60 times
 	// as long while the store is slow; a lost answer shows only by the timeout.
 	callTimeout = 400 * time.Millisecond
--- a/internal/process/platform/parted.go
+++ b/internal/process/platform/parted.go
@@ -24,7 +24,7 @@
 // transactions of a part one after another.
 type PartedTx struct {
 	Part string
-	Tx
+	Tx   `msgpack:"x,noinline"`
 }
 
 // PartedResult is the certain outcome of a PartedTx.
--- a/internal/process/platform/platform.go
+++ b/internal/process/platform/platform.go
@@ -14,7 +14,7 @@
 // Row is one row as read. Revision is the service-wide number of the
 // transaction that wrote it last; it only grows.
 type Row struct {
-	Key
+	Key      `msgpack:"k,noinline"`
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Deleted marks a tombstone in the answer to a Since read.
@@ -23,13 +23,13 @@
 
 // Condition holds when the row's revision equals Revision; 0 means absent.
 type Condition struct {
-	Key
+	Key      `msgpack:"k,noinline"`
 	Revision uint64 `json:"revision"`
 }
 
 // Write sets or deletes one row.
 type Write struct {
-	Key
+	Key    `msgpack:"k,noinline"`
 	Value  []byte `json:"value,omitempty"`
 	Delete bool   `json:"delete,omitempty"`
 }
--- /dev/null
+++ b/internal/process/storepath/storepath_test.go
@@ -0,0 +1,132 @@
+package storepath
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+)
+
+// fakeStore counts calls and fails them with err while it is set.
+type fakeStore struct {
+	err   atomic.Pointer[platform.Error]
+	calls atomic.Int64
+}
+
+func (s *fakeStore) result() error {
+	s.calls.Add(1)
+	if e := s.err.Load(); e != nil {
+		return e
+	}
+	return nil
+}
+
+func (s *fakeStore) Transact(context.Context, platform.PartedTx) (platform.PartedResult, error) {
+	err := s.result()
+	return platform.PartedResult{Committed: err == nil}, err
+}
+
+func (s *fakeStore) Range(context.Context, platform.RangeQuery) (platform.Page, error) {
+	return platform.Page{Revision: 1}, s.result()
+}
+
+func (s *fakeStore) Changes(context.Context, string, uint64, time.Duration) (platform.Page, error) {
+	return platform.Page{Revision: 1}, s.result()
+}
+
+var refused = &platform.Error{Kind: platform.NotApplied, Op: "call", Err: errors.New("status 503")}
+
+// remote is a helper on the path of another VM; unreachable ones return an error.
+type remote struct {
+	path        *Path
+	unreachable bool
+}
+
+func (r remote) Make(ctx context.Context, c Call) (Reply, error) {
+	if r.unreachable {
+		return Reply{}, errors.New("no route to host")
+	}
+	return r.path.Serve(ctx, c), nil
+}
+
+// newPath returns a path with the given helpers and its store.
+func newPath(helpers ...Helper) (*Path, *fakeStore) {
+	s := &fakeStore{}
+	return New(s, func() []Helper { return helpers }, func(State) {}), s
+}
+
+// TestCallsReachTheStoreThroughAnyHelper guards against a VM that gives up although
+// one of the others reaches the store: with four of ten VMs turned away, a fixed
+// number of three questions failed for each ninth call.
+func TestCallsReachTheStoreThroughAnyHelper(t *testing.T) {
+	var helpers []Helper
+	for range 6 {
+		p, s := newPath()
+		s.err.Store(refused)
+		helpers = append(helpers, remote{path: p})
+	}
+	good, goodStore := newPath()
+	helpers = append(helpers, remote{unreachable: true}, remote{path: good})
+	p, s := newPath(helpers...)
+	s.err.Store(refused)
+	for range 40 {
+		result, err := p.Transact(t.Context(), platform.PartedTx{})
+		require.NoError(t, err)
+		require.True(t, result.Committed)
+		require.Equal(t, Detour, p.State())
+	}
+	require.EqualValues(t, 40, goodStore.calls.Load())
+	require.EqualValues(t, 1, s.calls.Load(), "the failing way was tried again for each call")
+}
+
+// TestUnknownOutcomeIsNotRepeated guards against a transaction that is made twice:
+// the first one may have been applied although its answer was lost.
+func TestUnknownOutcomeIsNotRepeated(t *testing.T) {
+	good, goodStore := newPath()
+	p, s := newPath(remote{path: good})
+	s.err.Store(&platform.Error{Kind: platform.OutcomeUnknown, Op: "transact", Err: context.DeadlineExceeded})
+	_, err := p.Transact(t.Context(), platform.PartedTx{})
+	var pe *platform.Error
+	require.ErrorAs(t, err, &pe)
+	require.Equal(t, platform.OutcomeUnknown, pe.Kind)
+	require.Zero(t, goodStore.calls.Load())
+}
+
+// TestStateTellsAnOutageFromIsolation guards against a VM that keeps its callers
+// although only this VM is cut off.
+func TestStateTellsAnOutageFromIsolation(t *testing.T) {
+	other, otherStore := newPath()
+	otherStore.err.Store(refused)
+	p, s := newPath(remote{path: other})
+	s.err.Store(refused)
+	_, err := p.Range(t.Context(), platform.RangeQuery{})
+	require.Error(t, err)
+	require.Equal(t, Down, p.State())
+
+	alone, aloneStore := newPath(remote{unreachable: true})
+	aloneStore.err.Store(refused)
+	_, err = alone.Range(t.Context(), platform.RangeQuery{})
+	require.Error(t, err)
+	require.Equal(t, Isolated, alone.State())
+}
+
+// TestDirectWayIsTakenAgain guards against a VM that keeps using others after the
+// store is back.
+func TestDirectWayIsTakenAgain(t *testing.T) {
+	p, s := newPath()
+	s.err.Store(refused)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); p.Run(ctx, platform.RangeQuery{}) }()
+	_, err := p.Range(ctx, platform.RangeQuery{})
+	require.Error(t, err)
+	s.err.Store(nil)
+	require.Eventually(t, func() bool { return p.State() == Direct }, 5*time.Second, 5*time.Millisecond)
+	cancel()
+	<-done
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -12,6 +12,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/internal/version"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
@@ -29,6 +30,13 @@
 	confirmedFor = 2500 * time.Millisecond
 	// retrySoon is when a refused caller should try another VM.
 	retrySoon = 100 * time.Millisecond
+	// elsewhere is when a caller should try another VM because this one is cut off.
+	elsewhere = 10 * time.Millisecond
+	// storeWait is how long a turn waits for the store before it is dispatched, and
+	// storeRetry when its caller should come back. Outages last seconds; a caller that
+	// is refused at once gives up before the store is back.
+	storeWait  = 800 * time.Millisecond
+	storeRetry = 900 * time.Millisecond
 )
 
 // Replicas sends requests to replicas.
@@ -43,8 +51,10 @@
 	Loop     *fleet.Loop
 	Ledger   *ledger.Ledger
 	Replicas Replicas
-	Log      *decisionlog.Log
-	Metrics  *Metrics
+	// Store tells how the store is reached.
+	Store   *storepath.Path
+	Log     *decisionlog.Log
+	Metrics *Metrics
 }
 
 // exchange is the state of one request.
@@ -132,14 +142,19 @@
 		return nil
 	}
 	x.group = turntree.GroupOf(x.customer.Name, p.ID)
+	if x.Store.State() == storepath.Isolated {
+		return refusal.New(refusal.StoreUnavailable, "this VM reaches neither the store nor another VM").After(elsewhere)
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, storeWait)
+	defer cancel()
 	if p.Parent != "" && x.route.KeepsHistory {
-		line, err := x.Ledger.Line(x.ctx, x.group, x.customer.Name, p.Parent)
+		line, err := x.Ledger.Line(ctx, x.group, x.customer.Name, p.Parent)
 		if err != nil {
 			return x.ledgerRefusal(err)
 		}
 		x.line = line
 	}
-	err := x.Ledger.Reserve(x.ctx, ledger.Reservation{
+	err := x.Ledger.Reserve(ctx, ledger.Reservation{
 		Group: x.group, Customer: x.customer.Name, Turn: x.request.ID,
 		Most: x.request.MaxTokens, Budget: p.Budget, First: p.Parent == "",
 	})
@@ -161,7 +176,7 @@
 	case errors.Is(err, ledger.ErrNoTurn):
 		return refusal.New(refusal.TurnUnknown, "there is no turn %q", x.request.Program.Parent)
 	}
-	return refusal.New(refusal.StoreUnavailable, "%v", err).After(retrySoon)
+	return refusal.New(refusal.StoreUnavailable, "%v", err).After(storeRetry)
 }
 
 // late returns the refusal of a request whose time is over.
