storepath: let the test's unreachable VM fail before anything is sent

Cause: the test's error did not say that nothing was sent, so the path rightly returned an unknown outcome and did not ask the next VM. Change: the fake error implements NotSent, as a failed dial does. Result: go test -race -count=3 ./internal/process/storepath passes.

--- a/internal/process/storepath/storepath_test.go
+++ b/internal/process/storepath/storepath_test.go
@@ -49,11 +49,17 @@
 
 func (r remote) Make(ctx context.Context, c Call) (Reply, error) {
 	if r.unreachable {
-		return Reply{}, errors.New("no route to host")
+		return Reply{}, errNoRoute{}
 	}
 	return r.path.Serve(ctx, c), nil
 }
 
+// errNoRoute is a failed dial: nothing was sent.
+type errNoRoute struct{}
+
+func (errNoRoute) Error() string { return "no route to host" }
+func (errNoRoute) NotSent() bool { return true }
+
 // newPath returns a path with the given helpers and its store.
 func newPath(helpers ...Helper) (*Path, *fakeStore) {
 	s := &fakeStore{}
