Enter the direct way to the store only after a probe, shorten the use of lapsed listings

Change: only a probe enters the direct way; a round of questions that was cut short says nothing; a VM is isolated only if no other VM answered for a second. Lapsed listings are used for 1.8 s, below the bound of 2 s for leaving replicas.

--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -22,11 +22,12 @@
 	// watchPause is the wait after a failed read.
 	watchPause = 200 * time.Millisecond
 	// outageMemory is how long after a failed call the disappearance of a replica's
-	// listing may be due to the outage. Listings lapse after three heartbeats.
-	outageMemory = 6 * time.Second
+	// listing may be due to the outage.
+	outageMemory = 4 * time.Second
 	// listingGrace is how long a listing that may have lapsed in an outage is still
-	// used: the replica is back on the list within about 2 s if it lives.
-	listingGrace = 2300 * time.Millisecond
+	// used: the replica is back on the list within about 2 s if it lives. A replica
+	// that leaves must not get requests 2 s after its listing has gone.
+	listingGrace = 1800 * time.Millisecond
 )
 
 // storeHealth is what the watchers know of the store.
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -22,6 +22,8 @@
 	// helperTimeout is how long another VM may take besides the wait of the call
 	// itself.
 	helperTimeout = 250 * time.Millisecond
+	// answerMemory is how long after an answer of another VM this VM is not isolated.
+	answerMemory = time.Second
 	// maxSeats bounds the random choice of the first helper; it is well above the
 	// number of VMs.
 	maxSeats = 1 << 16
@@ -90,6 +92,7 @@
 
 	state     atomic.Int32
 	failUntil atomic.Int64 // Unix nanoseconds
+	answered  atomic.Int64 // when another VM answered last, Unix nanoseconds
 	next      atomic.Uint32
 	detoured  atomic.Int64
 	probe     chan struct{}
@@ -191,7 +194,7 @@
 		return Reply{}, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: errFailFast}
 	}
 	helpers := p.helpers()
-	last, answered := errNoHelper, false
+	last := errNoHelper
 	for range helpers {
 		// The VM that helped last is asked again; a VM that fails is passed over.
 		at := p.next.Load()
@@ -199,7 +202,9 @@
 		if err != nil || reply.Failed != "" {
 			p.next.CompareAndSwap(at, at+1)
 		}
-		answered = answered || err == nil
+		if err == nil {
+			p.answered.Store(time.Now().UnixNano())
+		}
 		switch {
 		case err != nil && c.Transact != nil && !notSent(err):
 			return Reply{}, &platform.Error{Kind: platform.OutcomeUnknown, Op: "detour", Err: err}
@@ -207,7 +212,7 @@
 			last = err
 		case reply.Failed == "":
 			p.detoured.Add(1)
-			p.enter(Detour)
+			p.leaveDirect(Detour)
 			return reply, nil
 		case reply.Failed != platform.NotApplied:
 			return Reply{}, &platform.Error{Kind: reply.Failed, Op: "detour", Err: errors.New(reply.Reason)}
@@ -215,13 +220,14 @@
 			last = errors.New(reply.Reason)
 		}
 		if ctx.Err() != nil {
-			break
+			// The round is not complete, so it says nothing on the other VMs.
+			return Reply{}, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: ctx.Err()}
 		}
 	}
-	if answered {
-		p.enter(Down)
+	if time.Since(time.Unix(0, p.answered.Load())) < answerMemory {
+		p.leaveDirect(Down)
 	} else {
-		p.enter(Isolated)
+		p.leaveDirect(Isolated)
 	}
 	p.failUntil.Store(time.Now().Add(failFast).UnixNano())
 	return Reply{}, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: last}
@@ -249,19 +255,28 @@
 // directFailed leaves the direct way. A failed condition of a single part or a call
 // beyond the store's rate says nothing on the way, but a probe soon tells.
 func (p *Path) directFailed(error) {
-	if p.State() != Direct {
+	if !p.state.CompareAndSwap(int32(Direct), int32(Detour)) {
 		return
 	}
-	p.enter(Detour)
+	p.changed(Detour)
 	select {
 	case p.probe <- struct{}{}:
 	default:
 	}
 }
 
-func (p *Path) enter(s State) {
-	if State(p.state.Swap(int32(s))) != s {
-		p.changed(s)
+// leaveDirect changes between the states without a direct way. Only a probe enters
+// Direct again: a call that began before it must not undo that.
+func (p *Path) leaveDirect(s State) {
+	for {
+		before := p.state.Load()
+		if State(before) == Direct || State(before) == s {
+			return
+		}
+		if p.state.CompareAndSwap(before, int32(s)) {
+			p.changed(s)
+			return
+		}
 	}
 }
 
@@ -277,7 +292,8 @@
 		for p.State() != Direct && ctx.Err() == nil {
 			if p.probeDirect(ctx, query) {
 				p.failUntil.Store(0)
-				p.enter(Direct)
+				p.state.Store(int32(Direct))
+				p.changed(Direct)
 				break
 			}
 			timer := time.NewTimer(probeInterval)
--- a/internal/process/storepath/storepath_test.go
+++ b/internal/process/storepath/storepath_test.go
@@ -136,3 +136,38 @@
 	cancel()
 	<-done
 }
+
+// TestLateFailureDoesNotUndoTheDirectWay guards against a path that stays away from
+// a store that is back: a call through other VMs that began in the outage ended
+// after the probe had succeeded, and no further probe was made.
+func TestLateFailureDoesNotUndoTheDirectWay(t *testing.T) {
+	helping := make(chan struct{})
+	release := make(chan struct{})
+	p, s := newPath(helperFunc(func() (Reply, error) {
+		close(helping)
+		<-release
+		return Reply{}, errNoRoute{}
+	}))
+	s.err.Store(refused)
+	ctx, cancel := context.WithCancel(t.Context())
+	ran := make(chan struct{})
+	go func() { defer close(ran); p.Run(ctx, platform.RangeQuery{}) }()
+	called := make(chan struct{})
+	go func() {
+		defer close(called)
+		_, err := p.Range(ctx, platform.RangeQuery{})
+		require.Error(t, err)
+	}()
+	<-helping
+	s.err.Store(nil)
+	require.Eventually(t, func() bool { return p.State() == Direct }, 5*time.Second, 5*time.Millisecond)
+	close(release)
+	<-called
+	require.Equal(t, Direct, p.State())
+	cancel()
+	<-ran
+}
+
+type helperFunc func() (Reply, error)
+
+func (f helperFunc) Make(context.Context, Call) (Reply, error) { return f() }
