Bound the programs that begin at a customer's rate, drop silent seats, give tokens back

Cause: while a customer is at its rate, requests of running programs competed with those that begin one, so few programs ended; tokens of requests that were refused later (402) were lost, about a tenth of all; the seat of a VM that is gone for good kept its part of every rate for a minute. Change: after a refusal of a running program's request, programs begin at the VM's rate over the requests of a program; unused tokens return to the bucket; seats lapse after 10 s in which the store was read, and their holder stops after 8 s.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -137,8 +137,9 @@
 	d.loop = fleet.NewLoop(fleet.Config{
 		Self:  fleet.Seat{VM: s.VM, Address: s.Peers.String(), DataCentre: s.DataCentre},
 		Store: d.store, Sources: platformversion.Sources(), Log: log,
-		Picker: placement.FleetPicker{Profile: placement.FleetProfile(), DataCentre: s.DataCentre},
-		Peers:  &fleetrpc.Remote{Manager: d.peers},
+		Picker:    placement.FleetPicker{Profile: placement.FleetProfile(), DataCentre: s.DataCentre},
+		Peers:     &fleetrpc.Remote{Manager: d.peers},
+		StoreDown: func() bool { return d.store.State() == storepath.Down },
 	})
 	server.Loop, server.Path = d.loop, d.store
 	d.ledger = ledger.New(running, d.store, int(turnCachePart*float64(s.MemoryBytes)))
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -48,7 +48,9 @@
 	Sources Sources
 	Picker  Picker
 	Peers   Peers
-	Log     *decisionlog.Log
+	// StoreDown says that no VM reaches the store, as far as this one knows.
+	StoreDown func() bool
+	Log       *decisionlog.Log
 }
 
 // Event changes the control state.
--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -12,6 +12,9 @@
 	// the same for one that begins a program: it has nothing to lose yet.
 	rateWait  = 400 * time.Millisecond
 	startWait = 100 * time.Millisecond
+	// startRetry is when a caller may try again to begin a program while its customer
+	// is at its rate.
+	startRetry = 500 * time.Millisecond
 	// borrowTimeout bounds one question to another VM; a round trip takes 3 ms.
 	borrowTimeout = 100 * time.Millisecond
 	// dryPause is how long a VM does not ask again after all others had no tokens.
@@ -23,6 +26,7 @@
 // allowance is this VM's part of one customer's rate.
 type allowance struct {
 	bucket    *share.Bucket
+	starts    *share.Starts
 	unlimited bool
 	waiting   []Take
 	borrowing bool
@@ -55,9 +59,13 @@
 		e.Reply <- Taken{OK: true}
 		return
 	}
+	if e.Starts && !a.starts.Take(now, a.bucket.Rate()) {
+		e.Reply <- Taken{RetryAfter: startRetry}
+		return
+	}
 	a.bucket.Asked(now)
 	if len(a.waiting) == 0 && a.bucket.Take(now) {
-		e.Reply <- Taken{OK: true}
+		a.admit(e)
 		return
 	}
 	wait := rateWait
@@ -71,6 +79,21 @@
 	s.borrow(now, e.Customer, a)
 }
 
+// GiveBack returns the token of a request that no replica ran.
+type GiveBack struct{ Customer string }
+
+// Apply implements Event.
+func (e GiveBack) Apply(s *State, now time.Time) {
+	if a := s.rates[e.Customer]; a != nil {
+		a.bucket.GiveBack(now)
+	}
+}
+
+func (a *allowance) admit(t Take) {
+	a.starts.Admitted(t.Starts)
+	t.Reply <- Taken{OK: true}
+}
+
 // applyRates takes the rates of a new version or another number of seats.
 func (s *State) applyRates(now time.Time) {
 	if s.table == nil {
@@ -85,7 +108,7 @@
 		}
 		a := s.rates[c.Name]
 		if a == nil {
-			a = &allowance{bucket: share.NewBucket(now, rate, burst, s.seats.count())}
+			a = &allowance{bucket: share.NewBucket(now, rate, burst, s.seats.count()), starts: share.NewStarts(now)}
 			s.rates[c.Name] = a
 		}
 		a.unlimited = c.Rate >= Unlimited
@@ -106,7 +129,7 @@
 func (s *State) stepRates(now time.Time) (next time.Time) {
 	for name, a := range s.rates {
 		for len(a.waiting) > 0 && a.bucket.Take(now) {
-			a.waiting[0].Reply <- Taken{OK: true}
+			a.admit(a.waiting[0])
 			a.waiting = a.waiting[1:]
 		}
 		a.expire(now)
@@ -132,6 +155,10 @@
 			kept = append(kept, w)
 			continue
 		}
+		if !w.Starts {
+			// The whole fleet has no token, so programs that run are held up.
+			a.starts.Press(now)
+		}
 		w.Reply <- Taken{RetryAfter: a.bucket.NextToken(now).Sub(now)}
 	}
 	a.waiting = kept
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -17,11 +17,14 @@
 const (
 	// seatPoll is the time between two reads of the seats.
 	seatPoll = 2 * time.Second
-	// seatRenewal is the time between two writes of the own seat. A seat that was not
-	// renewed for seatTTL is dropped; until then its part of the rates is not used by
-	// anybody else, since its holder may only be cut off.
-	seatRenewal = 15 * time.Second
-	seatTTL     = 60 * time.Second
+	// seatRenewal is the time between two writes of the own seat. A seat that others
+	// have not seen renewed for seatTTL is dropped; until then nobody uses its part of
+	// the rates, since its holder may only be cut off. The holder stops after seatUse.
+	seatRenewal = 3 * time.Second
+	seatUse     = 8 * time.Second
+	seatTTL     = 10 * time.Second
+	// seatRemoval is when the row of a silent seat is deleted.
+	seatRemoval = time.Minute
 	// joinWait is how long a new seat is not used: by then every VM that can reach the
 	// store has read it and divides the rates by one more.
 	joinWait = seatPoll + time.Second
@@ -44,8 +47,12 @@
 type seatView struct {
 	self Seat
 	// held are the seats on the list by address, with when their row last changed.
-	held   map[string]seatState
-	failed map[string]time.Time // by VM
+	held map[string]seatState
+	// rows are all rows of the last read, also of VMs that fell silent.
+	rows     map[string]seatState
+	lastRead time.Time
+	renewed  time.Time            // when the last renewal of the own seat was sent
+	failed   map[string]time.Time // by VM
 	// usable says that the own seat's part of the rates may be spent, from usableFrom on.
 	usable     bool
 	usableFrom time.Time
@@ -91,27 +98,19 @@
 // keepSeat writes the own seat and reads those of the others until ctx ends.
 func (l *Loop) keepSeat(ctx context.Context) {
 	self := l.config.Self
+	heldBefore, ok := l.heldBefore(ctx)
 	var renewed time.Time
-	heldBefore, looked := false, false
-	for ctx.Err() == nil {
-		if !looked {
-			e, err := l.readSeats(ctx)
-			l.note("seats", err)
-			if err != nil {
-				sleep(ctx, watchPause)
-				continue
-			}
-			looked = true
-			heldBefore = slices.ContainsFunc(e.seats, func(s seatState) bool { return s.Address == self.Address })
-		}
+	for ok && ctx.Err() == nil {
 		if renewed.IsZero() || time.Since(renewed) >= seatRenewal {
 			self.Renewal++
-			if err := l.writeSeat(ctx, self); err != nil {
-				l.note("seat", err)
+			began := time.Now()
+			err := l.writeSeat(ctx, self)
+			l.note("seat", err)
+			if err != nil {
 				sleep(ctx, watchPause)
 				continue
 			}
-			renewed = time.Now()
+			renewed = began
 		}
 		e, err := l.readSeats(ctx)
 		l.note("seats", err)
@@ -119,12 +118,26 @@
 			sleep(ctx, watchPause)
 			continue
 		}
-		e.heldBefore = heldBefore
+		e.heldBefore, e.renewed = heldBefore, renewed
 		l.post(ctx, e)
 		sleep(ctx, seatPoll)
 	}
 }
 
+// heldBefore says whether an earlier process of this VM holds the seat, so that the
+// others count it; ok is false when ctx ends.
+func (l *Loop) heldBefore(ctx context.Context) (held, ok bool) {
+	for ctx.Err() == nil {
+		e, err := l.readSeats(ctx)
+		l.note("seats", err)
+		if err == nil {
+			return slices.ContainsFunc(e.seats, func(s seatState) bool { return s.Address == l.config.Self.Address }), true
+		}
+		sleep(ctx, watchPause)
+	}
+	return false, false
+}
+
 func (l *Loop) writeSeat(ctx context.Context, self Seat) error {
 	value, err := msgpack.Marshal(self)
 	if err != nil {
@@ -157,50 +170,100 @@
 	return e, nil
 }
 
-// seatsRead is a read of all seats after the own one was written. heldBefore says
+// seatsRead is a read of all seats after the own one was renewed. heldBefore says
 // that an earlier process of this VM held the seat, so that the others count it.
 type seatsRead struct {
 	seats      []seatState
 	heldBefore bool
+	renewed    time.Time
 }
 
 // Apply implements Event.
 func (e seatsRead) Apply(s *State, now time.Time) {
-	before := s.seats.count()
+	v := &s.seats
+	before := v.count()
+	gone := v.take(now, e.seats)
+	v.renewed = e.renewed
+	if v.usableFrom.IsZero() {
+		v.usableFrom = now
+		if !e.heldBefore {
+			v.usableFrom = now.Add(joinWait)
+		}
+	}
+	s.dirty = true
+	if v.count() != before {
+		s.config.Log.State("Seats changed", "seats", v.count(), "before", before)
+		s.applyRates(now)
+	}
+	// One VM is enough to delete the rows of VMs that are gone for good.
+	if all := v.all(); len(gone) > 0 && len(all) > 0 && all[0].Address == v.self.Address {
+		s.loop.start(func(ctx context.Context) { s.loop.removeSeats(ctx, gone) })
+	}
+}
+
+// take replaces the seats by those of a read and returns the rows of VMs that are
+// gone. Only time in which the store was read counts as silence of a VM, since
+// nobody can renew while the store is away.
+func (v *seatView) take(now time.Time, read []seatState) (gone []seatState) {
+	pause := now.Sub(v.lastRead) - seatPoll
 	held := map[string]seatState{}
-	for _, seat := range e.seats {
+	for _, seat := range read {
 		seat.changed = now
-		if known, ok := s.seats.held[seat.Address]; ok && known.revision == seat.revision {
+		if known, ok := v.rows[seat.Address]; ok && known.revision == seat.revision {
 			seat.changed = known.changed
+			if pause > readTimeout {
+				seat.changed = seat.changed.Add(pause)
+			}
 		}
-		if now.Sub(seat.changed) < seatTTL {
-			held[seat.Address] = seat
-		}
+		held[seat.Address] = seat
 	}
-	s.seats.held = held
-	if s.seats.usableFrom.IsZero() {
-		s.seats.usableFrom = now
-		if !e.heldBefore {
-			s.seats.usableFrom = now.Add(joinWait)
+	v.rows, v.held, v.lastRead = held, map[string]seatState{}, now
+	for address, seat := range held {
+		switch silent := now.Sub(seat.changed); {
+		case silent < seatTTL || address == v.self.Address:
+			v.held[address] = seat
+		case silent > seatRemoval:
+			gone = append(gone, seat)
 		}
 	}
-	s.dirty = true
-	if s.seats.count() != before {
-		s.config.Log.State("Seats changed", "seats", s.seats.count(), "before", before)
-		s.applyRates(now)
+	return gone
+}
+
+func (l *Loop) removeSeats(ctx context.Context, seats []seatState) {
+	for _, seat := range seats {
+		key := platform.Key{Table: SeatTable, Key: seat.Address}
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		_, err := l.config.Store.Transact(callCtx, platform.PartedTx{Tx: platform.Tx{
+			Conditions: []platform.Condition{{Key: key, Revision: seat.revision}},
+			Writes:     []platform.Write{{Key: key, Delete: true}},
+		}})
+		cancel()
+		l.note("remove seat", err)
 	}
 }
 
-// stepSeats begins to use the own seat when the others have had the time to see it.
+// stepSeats begins to use the own seat when the others have had the time to see it,
+// and stops when it was not renewed for seatUse: they may drop it. While the store
+// is down for all VMs nobody can.
 func (s *State) stepSeats(now time.Time) time.Time {
 	v := &s.seats
-	if v.usable || v.usableFrom.IsZero() {
+	if v.usableFrom.IsZero() {
 		return time.Time{}
 	}
-	if now.Before(v.usableFrom) {
+	lapsed := now.Sub(v.renewed) > seatUse && !s.config.StoreDown()
+	switch {
+	case v.usable && lapsed:
+		v.usable, v.usableFrom = false, now.Add(joinWait)
+		s.config.Log.State("Seat not used", "renewed", now.Sub(v.renewed))
+		s.applyRates(now)
+	case lapsed:
+		v.usableFrom = now.Add(joinWait)
+	case !v.usable && !now.Before(v.usableFrom):
+		v.usable = true
+		s.applyRates(now)
+	}
+	if !v.usable {
 		return v.usableFrom
 	}
-	v.usable = true
-	s.applyRates(now)
 	return time.Time{}
 }
--- a/internal/process/share/share.go
+++ b/internal/process/share/share.go
@@ -55,6 +55,9 @@
 // whole; the rate bounds how often it fills.
 func (b *Bucket) cap() float64 { return max(1, b.burst) }
 
+// Rate returns the rate of this seat in requests/s.
+func (b *Bucket) Rate() float64 { return b.rate }
+
 // Take takes a token for a request.
 func (b *Bucket) Take(now time.Time) bool {
 	b.advance(now)
@@ -69,6 +72,12 @@
 	return true
 }
 
+// GiveBack returns a token that was taken and not used.
+func (b *Bucket) GiveBack(now time.Time) {
+	b.advance(now)
+	b.level = min(b.cap(), b.level+1)
+}
+
 // Asked counts a request in the demand, whether or not it gets a token.
 func (b *Bucket) Asked(now time.Time) {
 	b.advance(now)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -101,13 +101,17 @@
 	if why := x.takeRate(); why != nil {
 		return why
 	}
-	if why := x.prepareTurn(); why != nil {
-		return why
+	why := x.prepareTurn()
+	if why == nil {
+		why = x.dispatch()
 	}
-	why := x.dispatch()
 	if x.reserved {
 		x.Ledger.Settle(x.group, x.request.ID, x.tokens)
 	}
+	if why != nil && why.Run == refusal.NotRun && x.customer != nil {
+		// The rate counts requests that run.
+		_ = x.Loop.Post(context.WithoutCancel(x.ctx), fleet.GiveBack{Customer: x.customer.Name})
+	}
 	return why
 }
 
@@ -160,10 +164,6 @@
 	})
 	x.reserved = !errors.Is(err, ledger.ErrBudget)
 	if err != nil {
-		if x.reserved {
-			x.Ledger.Settle(x.group, x.request.ID, 0)
-			x.reserved = false
-		}
 		return x.ledgerRefusal(err)
 	}
 	return nil
