--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -58,6 +58,8 @@
 	// Failed says that the replica failed the request, NotHere that another replica
 	// has its address.
 	Failed, NotHere bool
+	// Kept says that the connection may be used again.
+	Kept bool
 	// Load is the replica's load if it told it.
 	Load *replica.Load
 	// Kind tells what is compared with what. Whole is the time of the request and Unit
@@ -75,7 +77,7 @@
 	if e.Load != nil {
 		s.replicas.Report(now, e.Replica, *e.Load)
 	}
-	s.replicas.End(now, e.Replica, !e.Failed)
+	s.replicas.End(now, e.Replica, !e.Failed, e.Kept)
 	if e.NotHere {
 		s.replicas.NotHere(now, e.Replica)
 	}
--- a/internal/process/replica/registry.go
+++ b/internal/process/replica/registry.go
@@ -16,6 +16,9 @@
 	// slownessHalfLife is how fast an observation loses weight, so that a replica
 	// that was slow gets requests again.
 	slownessHalfLife = 4 * time.Second
+	// connectionIdle is how long an idle connection counts as open; the client keeps
+	// it for 9 s.
+	connectionIdle = 8500 * time.Millisecond
 )
 
 // Listing is a replica as it registers itself.
@@ -41,6 +44,7 @@
 	failures detector
 	slowness float64
 	observed time.Time
+	idle     []time.Time // since when the idle connections are idle, oldest first
 }
 
 // Registry holds the replicas that register themselves under an id. Its methods are
@@ -123,13 +127,30 @@
 	if e := r.entries[id]; e != nil {
 		e.load.change(now, +1)
 		e.failures.begin(now)
+		e.pruneIdle(now)
+		if n := len(e.idle); n > 0 {
+			e.idle = e.idle[:n-1]
+		}
 	}
 }
 
-// End counts the end of a request; ok is false if the replica failed it.
-func (r *Registry) End(now time.Time, id string, ok bool) {
+// pruneIdle forgets connections that have been idle for too long.
+func (e *registered) pruneIdle(now time.Time) {
+	n := 0
+	for n < len(e.idle) && now.Sub(e.idle[n]) > connectionIdle {
+		n++
+	}
+	e.idle = append(e.idle[:0], e.idle[n:]...)
+}
+
+// End counts the end of a request; ok is false if the replica failed it, and kept
+// says that its connection may be used again.
+func (r *Registry) End(now time.Time, id string, ok, kept bool) {
 	if e := r.entries[id]; e != nil && e.load.own > 0 {
 		e.load.change(now, -1)
+		if kept {
+			e.idle = append(e.idle, now)
+		}
 		e.failures.end(now, r.vm, id, ok)
 	}
 }
@@ -180,11 +201,12 @@
 }
 
 func (e *registered) candidate(now time.Time) Candidate {
+	e.pruneIdle(now)
 	return Candidate{
 		Replica: e.ID, Address: e.Address, DataCentre: e.DataCentre,
 		Leaving: e.Leaving || now.Before(e.refuses),
 		Failing: e.failures.failing(), RetryAt: e.failures.retryAt, Probing: e.failures.probing,
 		Own: e.load.own, InFlight: e.load.inFlight(), Slots: e.Slots,
-		Slowness: e.current(now),
+		Slowness: e.current(now), Connected: len(e.idle) > 0,
 	}
 }
--- a/internal/process/replica/view.go
+++ b/internal/process/replica/view.go
@@ -44,6 +44,8 @@
 	// Slowness is the replica's service time relative to the others of its endpoint;
 	// 1 is usual, 0 is unknown.
 	Slowness float64
+	// Connected says that an idle connection to the replica is probably open.
+	Connected bool
 }
 
 type entry struct {
--- a/internal/request/placement/expectedtime.go
+++ b/internal/request/placement/expectedtime.go
@@ -44,7 +44,7 @@
 func FleetProfile() *Profile {
 	return &Profile{
 		Filters: []Filter{Leaving{}, Failing{}, Excluded{}},
-		Scores:  []WeightedScore{{ExpectedTime{}, 1}, {DataCentre{}, 1}},
+		Scores:  []WeightedScore{{ExpectedTime{}, 1}, {DataCentre{}, 1}, {Connected{}, 1}},
 	}
 }
 
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -152,6 +152,7 @@
 		return false, x.failed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: errUnsigned})
 	case reply.Status < 300 && x.route.Kind == routing.Stream:
 		end.Failed, end.Unit = x.stream(a)
+		end.Kept = end.Unit > 0
 		end.Whole = time.Since(a.began)
 		return true, nil
 	}
@@ -160,6 +161,7 @@
 		end.Failed = x.ctx.Err() == nil
 		return false, x.failed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: err})
 	}
+	end.Kept = true
 	if reply.Status < 300 {
 		end.Whole = time.Since(a.began)
 		end.Unit = end.Whole
