Test the fleet on stand-ins of the platform, take no traffic before the seat is usable

Cause: the new path had no tests, and a VM that had just joined was ready while its part of the rates was still empty: it refused its first requests as rate_limited.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -76,14 +76,17 @@
 	Draining bool
 	// Seats are the VMs of the fleet, this one included.
 	Seats []Seat
+	// Seated says that this VM may spend its part of the customers' rates.
+	Seated bool
 	// Replicas is the number of listed replicas.
 	Replicas int
 }
 
-// errNoTable and errDraining say why a VM takes no traffic.
+// These errors say why a VM takes no traffic.
 var (
 	errNoTable  = errors.New("no configuration was read yet")
 	errDraining = errors.New("the VM is stopping")
+	errNoSeat   = errors.New("the VM has no part of the customers' rates yet")
 )
 
 // Ready returns why the VM takes no new connections, or nil.
@@ -93,6 +96,8 @@
 		return errDraining
 	case s.Table == nil:
 		return errNoTable
+	case !s.Seated:
+		return errNoSeat
 	}
 	return nil
 }
@@ -169,7 +174,7 @@
 	s.dirty = false
 	s.loop.snapshot.Store(&Snapshot{
 		Table: s.table, ConfirmedAt: s.confirmed, Draining: s.draining,
-		Seats: s.seats.all(), Replicas: s.replicas.Count(),
+		Seats: s.seats.all(), Seated: s.seats.usable, Replicas: s.replicas.Count(),
 	})
 }
 
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -253,13 +253,13 @@
 	lapsed := now.Sub(v.renewed) > seatUse && !s.config.StoreDown()
 	switch {
 	case v.usable && lapsed:
-		v.usable, v.usableFrom = false, now.Add(joinWait)
+		v.usable, v.usableFrom, s.dirty = false, now.Add(joinWait), true
 		s.config.Log.State("Seat not used", "renewed", now.Sub(v.renewed))
 		s.applyRates(now)
 	case lapsed:
 		v.usableFrom = now.Add(joinWait)
 	case !v.usable && !now.Before(v.usableFrom):
-		v.usable = true
+		v.usable, s.dirty = true, true
 		s.applyRates(now)
 	}
 	if !v.usable {
--- /dev/null
+++ b/internal/process/ledger/ledger_test.go
@@ -0,0 +1,200 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/platform/connection"
+	"hornbeamvale.example/hornbeamvale/platform/platformtest"
+)
+
+const (
+	customer = "parish"
+	cache    = 1 << 20
+)
+
+// vm returns the ledger of one more VM on the store.
+func vm(t *testing.T, s *platformtest.Store) *ledger.Ledger {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return ledger.New(ctx, connection.NewStore(s.Address()), cache)
+}
+
+func group(program string) turntree.Group { return turntree.GroupOf(customer, program) }
+
+// take runs one turn with the given input and output to its end.
+func take(t *testing.T, l *ledger.Ledger, program, parent, id, text string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	line, err := l.Line(ctx, group(program), customer, parent)
+	require.NoError(t, err)
+	require.NoError(t, l.Reserve(ctx, ledger.Reservation{
+		Group: group(program), Customer: customer, Turn: id, Most: 10, Budget: 1000, First: parent == "",
+	}))
+	require.NoError(t, l.Record(ctx, ledger.Ended{
+		Group: group(program), ID: id, Used: 4, Line: line,
+		Turn: turntree.Turn{Customer: customer, Parent: parent, Input: []byte(text + "?"), Output: []byte(text + "!\n")},
+	}))
+}
+
+// TestLineIsTheSameAtEveryVM guards against a history that is lost or mixed when a
+// program goes on through another VM, forks, or is continued by another program.
+func TestLineIsTheSameAtEveryVM(t *testing.T) {
+	store := platformtest.NewStore(t)
+	a, b := vm(t, store), vm(t, store)
+	take(t, a, "p", "", "1", "one")
+	take(t, b, "p", "1", "2", "two")
+	take(t, a, "p", "1", "3", "three")
+	take(t, b, "q", "3", "4", "four")
+	for i, l := range []*ledger.Ledger{a, b, vm(t, store)} {
+		for _, c := range []struct{ program, parent, want string }{
+			{"p", "2", "one?one!\ntwo?two!\nnew"},
+			{"p", "3", "one?one!\nthree?three!\nnew"},
+			{"q", "4", "one?one!\nthree?three!\nfour?four!\nnew"},
+			{"r", "2", "one?one!\ntwo?two!\nnew"},
+			{"p", "", "new"},
+		} {
+			line, err := l.Line(t.Context(), group(c.program), customer, c.parent)
+			require.NoError(t, err, "vm %d, turn %s", i, c.parent)
+			require.Equal(t, c.want, string(line.Prompt([]byte("new"))), "vm %d, turn %s", i, c.parent)
+		}
+	}
+}
+
+// TestTurnOfAnotherCustomer guards against a history that reaches another customer.
+func TestTurnOfAnotherCustomer(t *testing.T) {
+	store := platformtest.NewStore(t)
+	a := vm(t, store)
+	take(t, a, "p", "", "1", "one")
+	for _, l := range []*ledger.Ledger{a, vm(t, store)} {
+		_, err := l.Line(t.Context(), turntree.GroupOf("other", "p"), "other", "1")
+		require.ErrorIs(t, err, ledger.ErrNoTurn)
+	}
+}
+
+// TestMissingTurnIsCertain guards against a VM that denies a turn although it only
+// could not look.
+func TestMissingTurnIsCertain(t *testing.T) {
+	store := platformtest.NewStore(t)
+	take(t, vm(t, store), "p", "", "1", "one")
+	l := vm(t, store)
+	_, err := l.Line(t.Context(), group("p"), customer, "none")
+	require.ErrorIs(t, err, ledger.ErrNoTurn)
+	other := vm(t, store) // l has seen the turn meanwhile
+	store.SetDown(true)
+	_, err = other.Line(t.Context(), group("q"), customer, "1")
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ledger.ErrNoTurn)
+}
+
+// TestLargeTurn guards against a turn that does not fit into one row.
+func TestLargeTurn(t *testing.T) {
+	store := platformtest.NewStore(t)
+	text := strings.Repeat("x", 200_000)
+	take(t, vm(t, store), "p", "", "1", text)
+	line, err := vm(t, store).Line(t.Context(), group("p"), customer, "1")
+	require.NoError(t, err)
+	require.Equal(t, text+"?"+text+"!\n", string(line.Prompt(nil)))
+}
+
+// TestBudgetIsNeverPassed guards against parallel turns of a program that together
+// pass its budget: they reserve at three VMs at once while answers are lost.
+func TestBudgetIsNeverPassed(t *testing.T) {
+	const budget, most, turns = 100, 9, 40
+	store := platformtest.NewStore(t)
+	vms := []*ledger.Ledger{vm(t, store), vm(t, store), vm(t, store)}
+	store.LoseAnswers(5)
+	var granted, refused atomic.Int64
+	var wait sync.WaitGroup
+	for i := range turns {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			err := vms[i%len(vms)].Reserve(ctx, ledger.Reservation{
+				Group: group("p"), Customer: customer, Turn: fmt.Sprint("t", i), Most: most, Budget: budget, First: true,
+			})
+			switch {
+			case err == nil:
+				granted.Add(1)
+			case errors.Is(err, ledger.ErrBudget):
+				refused.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	require.EqualValues(t, budget/most, granted.Load())
+	require.EqualValues(t, turns-budget/most, refused.Load())
+}
+
+// TestSettledTokensAreFree guards against a budget that stays reserved after the
+// turn ended at another VM, which would refuse a program that has tokens left.
+func TestSettledTokensAreFree(t *testing.T) {
+	store := platformtest.NewStore(t)
+	a, b := vm(t, store), vm(t, store)
+	r := ledger.Reservation{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100}
+	require.NoError(t, a.Reserve(t.Context(), r))
+	r.Turn = "2"
+	require.ErrorIs(t, b.Reserve(t.Context(), r), ledger.ErrBudget)
+	a.Settle(r.Group, "1", 10)
+	require.Eventually(t, func() bool { return b.Reserve(t.Context(), r) == nil }, 5*time.Second, 10*time.Millisecond)
+}
+
+// TestRecordWaitsForTheStore guards against a turn that ends while it is not durable.
+func TestRecordWaitsForTheStore(t *testing.T) {
+	store := platformtest.NewStore(t)
+	l := vm(t, store)
+	require.NoError(t, l.Reserve(t.Context(), ledger.Reservation{Group: group("p"), Customer: customer, Turn: "1", Most: 5}))
+	store.SetDown(true)
+	ended := ledger.Ended{Group: group("p"), ID: "1", Turn: turntree.Turn{Customer: customer, Input: []byte("i")}}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	require.Error(t, l.Record(ctx, ended))
+	store.SetDown(false)
+	require.NoError(t, l.Record(t.Context(), ended))
+	_, err := vm(t, store).Line(t.Context(), group("p"), customer, "1")
+	require.NoError(t, err)
+}
+
+// failing is a store that does not answer and may apply a transaction later.
+type failing struct {
+	platform.PartedStore
+	hold atomic.Pointer[platform.PartedTx]
+	once sync.Once
+}
+
+func (f *failing) Transact(ctx context.Context, tx platform.PartedTx) (platform.PartedResult, error) {
+	lost := false
+	f.once.Do(func() { lost = true; f.hold.Store(&tx) })
+	if lost {
+		return platform.PartedResult{}, &platform.Error{Kind: platform.OutcomeUnknown, Op: "transact", Err: errors.New("no answer")}
+	}
+	return f.PartedStore.Transact(ctx, tx)
+}
+
+// TestLateTransactionChangesNothing guards against a transaction that is applied
+// seconds after its repeat and undoes it.
+func TestLateTransactionChangesNothing(t *testing.T) {
+	store := platformtest.NewStore(t)
+	direct := connection.NewStore(store.Address())
+	f := &failing{PartedStore: direct}
+	l := ledger.New(t.Context(), f, cache)
+	r := ledger.Reservation{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100, First: true}
+	require.NoError(t, l.Reserve(t.Context(), r))
+	result, err := direct.Transact(t.Context(), *f.hold.Load())
+	require.NoError(t, err)
+	require.False(t, result.Committed)
+	r.Turn = "2"
+	require.ErrorIs(t, vm(t, store).Reserve(t.Context(), r), ledger.ErrBudget)
+}
