Keep the seat through an outage, wait for the store in proportion to the time left

Change: the silence of the own seat counts from the end of the outage, as the others count it; a turn waits for the store for at most 0.4 of its remaining time.

--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -51,8 +51,11 @@
 	// rows are all rows of the last read, also of VMs that fell silent.
 	rows     map[string]seatState
 	lastRead time.Time
-	renewed  time.Time            // when the last renewal of the own seat was sent
-	failed   map[string]time.Time // by VM
+	renewed  time.Time // when the last renewal of the own seat was sent
+	// downUntil is when the store was last seen down for all VMs. The others count
+	// the silence of a seat anew from their first read after that.
+	downUntil time.Time
+	failed    map[string]time.Time // by VM
 	// usable says that the own seat's part of the rates may be spent, from usableFrom on.
 	usable     bool
 	usableFrom time.Time
@@ -183,13 +186,13 @@
 	v := &s.seats
 	before := v.count()
 	gone := v.take(now, e.seats)
-	v.renewed = e.renewed
-	if v.usableFrom.IsZero() {
+	switch {
+	case v.usableFrom.IsZero() && e.heldBefore:
 		v.usableFrom = now
-		if !e.heldBefore {
-			v.usableFrom = now.Add(joinWait)
-		}
+	case v.usableFrom.IsZero() || v.lapsed(now):
+		v.usableFrom = now.Add(joinWait)
 	}
+	v.renewed = e.renewed
 	s.dirty = true
 	if v.count() != before {
 		s.config.Log.State("Seats changed", "seats", v.count(), "before", before)
@@ -250,20 +253,33 @@
 	if v.usableFrom.IsZero() {
 		return time.Time{}
 	}
-	lapsed := now.Sub(v.renewed) > seatUse && !s.config.StoreDown()
-	switch {
+	if s.config.StoreDown() {
+		v.downUntil = now
+	}
+	switch lapsed := v.lapsed(now); {
 	case v.usable && lapsed:
-		v.usable, v.usableFrom, s.dirty = false, now.Add(joinWait), true
+		v.usable, s.dirty = false, true
 		s.config.Log.State("Seat not used", "renewed", now.Sub(v.renewed))
 		s.applyRates(now)
 	case lapsed:
-		v.usableFrom = now.Add(joinWait)
 	case !v.usable && !now.Before(v.usableFrom):
 		v.usable, s.dirty = true, true
 		s.applyRates(now)
 	}
-	if !v.usable {
+	if !v.usable && v.usableFrom.After(now) {
 		return v.usableFrom
 	}
 	return time.Time{}
 }
+
+// lapsed says whether others may have dropped the own seat.
+func (v *seatView) lapsed(now time.Time) bool {
+	return now.Sub(latest(v.renewed, v.downUntil)) > seatUse
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -35,7 +35,10 @@
 	// storeWait is how long a turn waits for the store before it is dispatched, and
 	// storeRetry when its caller should come back. Outages last seconds; a caller that
 	// is refused at once gives up before the store is back.
-	storeWait  = 800 * time.Millisecond
+	storeWait = 800 * time.Millisecond
+	// storePart is the largest part of the remaining time that is spent so. A caller
+	// that is refused later has no time left for another try.
+	storePart  = 0.4
 	storeRetry = 900 * time.Millisecond
 )
 
@@ -149,7 +152,7 @@
 	if x.Store.State() == storepath.Isolated {
 		return refusal.New(refusal.StoreUnavailable, "this VM reaches neither the store nor another VM").After(elsewhere)
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, storeWait)
+	ctx, cancel := context.WithTimeout(x.ctx, min(storeWait, time.Duration(storePart*float64(time.Until(x.deadline)))))
 	defer cancel()
 	if p.Parent != "" && x.route.KeepsHistory {
 		line, err := x.Ledger.Line(ctx, x.group, x.customer.Name, p.Parent)
