Divide a customer's rate among fewer VMs where the parts are small

Change: a rate has as many parts as hold 8 requests/s each, at least three, at VMs chosen by a hash of customer and seat; the others borrow from these and wait for a token in their queues.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -37,7 +37,7 @@
 // Peers reach the other VMs. The calls run on goroutines of their own.
 type Peers interface {
 	// Borrow asks a VM for tokens of a customer and returns how many it lends.
-	Borrow(ctx context.Context, to Seat, customer string, want float64) (float64, error)
+	Borrow(ctx context.Context, to Seat, customer string, r LoanRequest) (float64, error)
 }
 
 // Config sets up the control state.
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -18,7 +18,7 @@
 
 type noPeers struct{}
 
-func (noPeers) Borrow(context.Context, Seat, string, float64) (float64, error) { return 0, nil }
+func (noPeers) Borrow(context.Context, Seat, string, LoanRequest) (float64, error) { return 0, nil }
 
 type firstPicker struct{}
 
--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -5,9 +5,18 @@
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/share"
+	"hornbeamvale.example/hornbeamvale/internal/version"
 )
 
 const (
+	// minPart is the least rate, in requests/s, of a part into which a customer's rate
+	// is divided. Smaller parts hold less than the tokens of one loan. minHolders
+	// parts are kept in any case, so that the loss of a VM leaves most of the rate.
+	minPart    = 8.0
+	minHolders = 3
+	// lendWait is how long a VM without a part of its own waits in the queue of one
+	// that has, so that callers of all VMs have the same chance.
+	lendWait = 60 * time.Millisecond
 	// rateWait is how long a request waits for its customer's rate, and startWait
 	// the same for one that begins a program: it has nothing to lose yet.
 	rateWait  = 400 * time.Millisecond
@@ -28,10 +37,22 @@
 	bucket    *share.Bucket
 	starts    *share.Starts
 	unlimited bool
-	waiting   []Take
+	waiting   []waiter
 	borrowing bool
-	askAgain  time.Time
-	next      int // seat that is asked first
+	holders   []Seat // the VMs that have a part of the rate
+	holds     bool   // this VM is one of them
+	// fillFrom is when this VM may begin to use a part that was another VM's before.
+	fillFrom time.Time
+	askAgain time.Time
+	next     int // seat that is asked first
+}
+
+// waiter waits for tokens: a request of this VM, or a loan to another one.
+type waiter struct {
+	deadline time.Time
+	starts   bool
+	reply    chan<- Taken   // of a request
+	loan     chan<- float64 // of a loan
 }
 
 // Taken is the answer to a Take.
@@ -65,7 +86,7 @@
 	}
 	a.bucket.Asked(now)
 	if len(a.waiting) == 0 && a.bucket.Take(now) {
-		a.admit(e)
+		a.admit(waiter{starts: e.Starts, reply: e.Reply})
 		return
 	}
 	wait := rateWait
@@ -75,7 +96,7 @@
 	if latest := now.Add(wait); e.Deadline.IsZero() || latest.Before(e.Deadline) {
 		e.Deadline = latest
 	}
-	a.waiting = append(a.waiting, e)
+	a.waiting = append(a.waiting, waiter{deadline: e.Deadline, starts: e.Starts, reply: e.Reply})
 	s.borrow(now, e.Customer, a)
 }
 
@@ -89,9 +110,23 @@
 	}
 }
 
-func (a *allowance) admit(t Take) {
-	a.starts.Admitted(t.Starts)
-	t.Reply <- Taken{OK: true}
+// admit gives a token to a request or a loan.
+func (a *allowance) admit(w waiter) {
+	if w.loan != nil {
+		w.loan <- 1
+		return
+	}
+	a.starts.Admitted(w.starts)
+	w.reply <- Taken{OK: true}
+}
+
+// refuse answers a waiter that gets no token.
+func (w waiter) refuse(after time.Duration) {
+	if w.loan != nil {
+		w.loan <- 0
+		return
+	}
+	w.reply <- Taken{RetryAfter: after}
 }
 
 // applyRates takes the rates of a new version or another number of seats.
@@ -102,32 +137,49 @@
 	present := map[string]bool{}
 	for _, c := range s.table.Customers() {
 		present[c.Name] = true
-		rate, burst := c.Rate, c.Burst
-		if !s.seats.usable {
-			rate, burst = 0, 0
-		}
 		a := s.rates[c.Name]
 		if a == nil {
-			a = &allowance{bucket: share.NewBucket(now, rate, burst, s.seats.count()), starts: share.NewStarts(now)}
+			a = &allowance{bucket: share.NewBucket(now, 0, 0, 1), starts: share.NewStarts(now)}
 			s.rates[c.Name] = a
+			a.holders = s.seats.holders(c.Name, c.Rate)
+			a.holds = s.seats.isSelf(a.holders)
 		}
 		a.unlimited = c.Rate >= Unlimited
-		a.bucket.SetPolicy(now, rate, burst, s.seats.count())
+		s.applyRate(now, c, a)
 	}
 	for name, a := range s.rates {
 		if !present[name] {
 			for _, w := range a.waiting {
-				w.Reply <- Taken{}
+				w.refuse(0)
 			}
 			delete(s.rates, name)
 		}
 	}
 }
 
+// applyRate sets this VM's part of one customer's rate. A part that this VM did not
+// have before is used when every VM that can reach the store has seen the change.
+func (s *State) applyRate(now time.Time, c *version.Customer, a *allowance) {
+	held := a.holds
+	a.holders = s.seats.holders(c.Name, c.Rate)
+	a.holds = s.seats.isSelf(a.holders)
+	if a.holds && !held && !s.seats.first {
+		a.fillFrom = now.Add(joinWait)
+	}
+	rate, burst := c.Rate, c.Burst
+	if !s.seats.usable || !a.holds || now.Before(a.fillFrom) {
+		rate, burst = 0, 0
+	}
+	a.bucket.SetPolicy(now, rate, burst, len(a.holders))
+}
+
 // stepRates admits waiting requests and refuses those whose wait has ended. It
 // returns when the next one is due.
 func (s *State) stepRates(now time.Time) (next time.Time) {
 	for name, a := range s.rates {
+		if !a.fillFrom.IsZero() {
+			next = sooner(next, s.stepFill(now, name, a))
+		}
 		for len(a.waiting) > 0 && a.bucket.Take(now) {
 			a.admit(a.waiting[0])
 			a.waiting = a.waiting[1:]
@@ -138,7 +190,7 @@
 		}
 		s.borrow(now, name, a)
 		for _, w := range a.waiting {
-			next = sooner(next, w.Deadline)
+			next = sooner(next, w.deadline)
 		}
 		next = sooner(next, a.bucket.NextToken(now))
 		if !a.borrowing {
@@ -151,19 +203,31 @@
 func (a *allowance) expire(now time.Time) {
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
-		if now.Before(w.Deadline) {
+		if now.Before(w.deadline) {
 			kept = append(kept, w)
 			continue
 		}
-		if !w.Starts {
+		if w.reply != nil && !w.starts {
 			// The whole fleet has no token, so programs that run are held up.
 			a.starts.Press(now)
 		}
-		w.Reply <- Taken{RetryAfter: a.bucket.NextToken(now).Sub(now)}
+		w.refuse(a.bucket.NextToken(now).Sub(now))
 	}
 	a.waiting = kept
 }
 
+// stepFill begins to use a part when its time has come, or returns when that is.
+func (s *State) stepFill(now time.Time, name string, a *allowance) time.Time {
+	if now.Before(a.fillFrom) {
+		return a.fillFrom
+	}
+	a.fillFrom = time.Time{}
+	if c, ok := s.table.Customer(name); ok {
+		s.applyRate(now, c, a)
+	}
+	return time.Time{}
+}
+
 func sooner(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
@@ -171,12 +235,13 @@
 	return a
 }
 
-// borrow asks the other VMs, one after another, for the tokens that are missing.
+// borrow asks the VMs that have a part of the rate, one after another, for the tokens
+// that are missing.
 func (s *State) borrow(now time.Time, customer string, a *allowance) {
 	if a.borrowing || now.Before(a.askAgain) || len(a.waiting) == 0 {
 		return
 	}
-	others := s.seats.others()
+	others := s.seats.reachable(now, a.holders)
 	if len(others) == 0 {
 		return
 	}
@@ -184,13 +249,15 @@
 	a.next++
 	missing := a.bucket.Missing(now, len(a.waiting))
 	first := a.next % len(others)
+	want := LoanRequest{Wait: !a.holds}
 	s.loop.start(func(ctx context.Context) {
 		for i := range others {
 			if missing <= 0 || ctx.Err() != nil {
 				break
 			}
 			to := others[(first+i)%len(others)]
-			got, err := s.askFor(ctx, to, customer, missing)
+			want.Want = missing
+			got, err := s.askFor(ctx, to, customer, want)
 			if err != nil {
 				s.loop.post(ctx, peerFailed{seat: to.VM})
 				continue
@@ -204,7 +271,7 @@
 	})
 }
 
-func (s *State) askFor(ctx context.Context, to Seat, customer string, want float64) (float64, error) {
+func (s *State) askFor(ctx context.Context, to Seat, customer string, want LoanRequest) (float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	return s.config.Peers.Borrow(ctx, to, customer, want)
@@ -234,19 +301,35 @@
 	}
 }
 
+// LoanRequest asks for tokens of a customer.
+type LoanRequest struct {
+	Want float64
+	// Wait says that the asking VM has no part of its own: its callers have only the
+	// tokens of others, so it may wait for one.
+	Wait bool
+}
+
 // Lend gives tokens of a customer to another VM.
 type Lend struct {
 	Customer string
-	Want     float64
-	Reply    chan<- float64
+	LoanRequest
+	Reply chan<- float64
 }
 
 // Apply implements Event.
 func (e Lend) Apply(s *State, now time.Time) {
 	a := s.rates[e.Customer]
-	if a == nil || len(a.waiting) > 0 {
+	if a == nil {
 		e.Reply <- 0
 		return
 	}
-	e.Reply <- a.bucket.Lend(now, e.Want)
+	lent := 0.0
+	if len(a.waiting) == 0 {
+		lent = a.bucket.Lend(now, e.Want)
+	}
+	if lent == 0 && e.Wait && a.holds {
+		a.waiting = append(a.waiting, waiter{deadline: now.Add(lendWait), loan: e.Reply})
+		return
+	}
+	e.Reply <- lent
 }
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
 )
 
 // SeatTable holds one row for each VM of the fleet, under its address.
@@ -49,7 +51,10 @@
 	// held are the seats on the list by address, with when their row last changed.
 	held map[string]seatState
 	// rows are all rows of the last read, also of VMs that fell silent.
-	rows     map[string]seatState
+	rows map[string]seatState
+	// first is set while the first read is applied: the wait for the own seat then
+	// covers the parts that come with it.
+	first    bool
 	lastRead time.Time
 	renewed  time.Time // when the last renewal of the own seat was sent
 	// downUntil is when the store was last seen down for all VMs. The others count
@@ -84,12 +89,33 @@
 	return seats
 }
 
-// others returns the seats of other VMs that answer, ordered by address.
-func (v *seatView) others() []Seat {
-	now := time.Now()
-	return slices.DeleteFunc(v.all(), func(s Seat) bool {
-		return s.Address == v.self.Address || now.Sub(v.failed[s.VM]) < peerPause
+// holders returns the VMs that have a part of a customer's rate: fewer for a small
+// rate, so that each part holds some tokens. All VMs with the same view choose the
+// same; a VM that joins or goes changes no more than one of them.
+func (v *seatView) holders(customer string, rate float64) []Seat {
+	all := v.all()
+	n := min(len(all), max(minHolders, int(rate/minPart)))
+	slices.SortStableFunc(all, func(a, b Seat) int {
+		return cmp.Compare(hashing.Sum("holder", customer, a.Address), hashing.Sum("holder", customer, b.Address))
 	})
+	return all[:n]
+}
+
+// isSelf says whether the own seat is among the given ones. A VM that has read no
+// seats yet is alone.
+func (v *seatView) isSelf(seats []Seat) bool {
+	return slices.ContainsFunc(seats, func(s Seat) bool { return s.Address == v.self.Address })
+}
+
+// reachable returns those of the seats of other VMs that answer.
+func (v *seatView) reachable(now time.Time, seats []Seat) []Seat {
+	var out []Seat
+	for _, s := range seats {
+		if s.Address != v.self.Address && now.Sub(v.failed[s.VM]) >= peerPause {
+			out = append(out, s)
+		}
+	}
+	return out
 }
 
 // peerFailed says that a VM did not answer.
@@ -184,7 +210,8 @@
 // Apply implements Event.
 func (e seatsRead) Apply(s *State, now time.Time) {
 	v := &s.seats
-	before := v.count()
+	before := v.all()
+	v.first = v.lastRead.IsZero()
 	gone := v.take(now, e.seats)
 	switch {
 	case v.usableFrom.IsZero() && e.heldBefore:
@@ -194,10 +221,11 @@
 	}
 	v.renewed = e.renewed
 	s.dirty = true
-	if v.count() != before {
-		s.config.Log.State("Seats changed", "seats", v.count(), "before", before)
+	if !slices.EqualFunc(v.all(), before, func(a, b Seat) bool { return a.Address == b.Address }) {
+		s.config.Log.State("Seats changed", "seats", v.count(), "before", len(before))
 		s.applyRates(now)
 	}
+	v.first = false
 	// One VM is enough to delete the rows of VMs that are gone for good.
 	if all := v.all(); len(gone) > 0 && len(all) > 0 && all[0].Address == v.self.Address {
 		s.loop.start(func(ctx context.Context) { s.loop.removeSeats(ctx, gone) })
--- a/internal/request/fleetrpc/fleetrpc.go
+++ b/internal/request/fleetrpc/fleetrpc.go
@@ -15,6 +15,7 @@
 type shareAsk struct {
 	Customer string  `msgpack:"c"`
 	Want     float64 `msgpack:"w"`
+	Wait     bool    `msgpack:"q,omitempty"`
 }
 
 type shareGrant struct {
@@ -56,9 +57,9 @@
 type Remote struct{ Manager *peer.Manager }
 
 // Borrow implements fleet.Peers.
-func (r *Remote) Borrow(ctx context.Context, to fleet.Seat, customer string, want float64) (float64, error) {
+func (r *Remote) Borrow(ctx context.Context, to fleet.Seat, customer string, q fleet.LoanRequest) (float64, error) {
 	var grant shareGrant
-	err := call(ctx, r.Manager, to, peer.ShareAsk, shareAsk{Customer: customer, Want: want}, &grant)
+	err := call(ctx, r.Manager, to, peer.ShareAsk, shareAsk{Customer: customer, Want: q.Want, Wait: q.Wait}, &grant)
 	return max(0, grant.Tokens), err
 }
 
@@ -106,7 +107,7 @@
 		return peer.Message{}, refusal.New(refusal.BadRequest, "%v", err)
 	}
 	reply := make(chan float64, 1)
-	if err := s.Loop.Post(ctx, fleet.Lend{Customer: ask.Customer, Want: ask.Want, Reply: reply}); err != nil {
+	if err := s.Loop.Post(ctx, fleet.Lend{Customer: ask.Customer, LoanRequest: fleet.LoanRequest{Want: ask.Want, Wait: ask.Wait}, Reply: reply}); err != nil {
 		return peer.Message{}, err
 	}
 	select {
