--- a/cmd/hornbeamvaled/metrics_test.go
+++ b/cmd/hornbeamvaled/metrics_test.go
@@ -23,7 +23,7 @@
 	d.counters.Served.Add(1)
 	recorder := httptest.NewRecorder()
 	d.operators.Handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	require.NoError(t, err)
 
 	names := regexp.MustCompile(`(?m)^hornbeamvale_[a-z_]+`)
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -218,3 +218,58 @@
 	Take{Customer: "parish", Reply: reply}.Apply(f.State, start)
 	require.True(t, (<-reply).OK, "admission decides on a customer that is gone")
 }
+
+// TestSmallRateHasFewParts guards against a rate that is divided so far that no VM
+// ever holds a token: with 65 VMs most of a small customer's rate was refused.
+func TestSmallRateHasFewParts(t *testing.T) {
+	f := newFixture(t)
+	read(65, 0, 1, start).Apply(f.State, start)
+	small, large := f.seats.holders("parish", 10), f.seats.holders("parish", 160)
+	require.Len(t, small, minHolders)
+	require.Len(t, large, 20)
+	require.Equal(t, small, large[:minHolders], "a change of the rate moves all parts")
+	// A VM that goes changes the parts that it held only.
+	e := read(65, 0, 2, start)
+	e.seats = e.seats[:64]
+	e.Apply(f.State, start)
+	kept := 0
+	for _, s := range f.seats.holders("parish", 160) {
+		for _, before := range large {
+			if s.Address == before.Address {
+				kept++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, kept, 19)
+}
+
+// TestPartOfAnotherVMIsUsedLater guards against a rate that is spent twice while the
+// view of the seats changes.
+func TestPartOfAnotherVMIsUsedLater(t *testing.T) {
+	f := newFixture(t)
+	now := start
+	configurationRead{table: table(t, 1, 10), at: now}.Apply(f.State, now)
+	e := read(8, 0, 1, now)
+	e.Apply(f.State, now)
+	f.Step(now)
+	// Take away holders until this VM becomes one.
+	for len(e.seats) > 1 && !f.rates["parish"].holds {
+		holder := f.rates["parish"].holders[0]
+		var left []seatState
+		for _, s := range e.seats {
+			if s.Address != holder.Address {
+				left = append(left, s)
+			}
+		}
+		e.seats = left
+		now = now.Add(time.Second)
+		e.renewed = now
+		e.Apply(f.State, now)
+	}
+	require.True(t, f.rates["parish"].holds)
+	require.False(t, f.rates["parish"].fillFrom.IsZero(), "this VM held a part from the start")
+	f.Step(now.Add(joinWait - time.Second))
+	require.Zero(t, f.rates["parish"].bucket.Rate())
+	f.Step(now.Add(joinWait))
+	require.Positive(t, f.rates["parish"].bucket.Rate())
+}
