Read an account's copy only while no transaction of it runs, give the new codes a status

The soak's VMs chose ports before their neighbours listened. Result: go test -race -count=2 of both packages passes.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -121,6 +121,7 @@
 		klog.ErrorS(err, "Settings not reloaded")
 		return
 	}
+	s.Metrics = d.settings.Metrics // the command line may have set its port
 	klog.InfoS("Settings reloaded", "changed", s != d.settings)
 }
 
--- a/cmd/hornbeamvaled/main.go
+++ b/cmd/hornbeamvaled/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -26,6 +27,7 @@
 type options struct {
 	Config        string `long:"config" value-name:"FILE" description:"settings file"`
 	Platform      bool   `long:"platform" description:"take the settings from the platform and follow its store"`
+	MetricsPort   uint16 `long:"metrics-port" value-name:"PORT" description:"port of the metrics with --platform; by default the second internal port"`
 	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
 }
 
@@ -74,6 +76,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if o.MetricsPort != 0 {
+		s.Metrics = netip.AddrPortFrom(s.Metrics.Addr(), o.MetricsPort)
+	}
 	if o.CheckSettings {
 		fmt.Println("settings are valid")
 		return 0
--- a/internal/connection/callerhttp/status.go
+++ b/internal/connection/callerhttp/status.go
@@ -36,6 +36,11 @@
 	refusal.Overloaded:             {http.StatusServiceUnavailable, time.Second},
 	refusal.Stopping:               {http.StatusServiceUnavailable, time.Second},
 	refusal.Internal:               {http.StatusInternalServerError, 0},
+	refusal.RouteUnknown:           {http.StatusNotFound, 0},
+	refusal.TurnUnknown:            {http.StatusNotFound, 0},
+	refusal.NoConfiguration:        {http.StatusServiceUnavailable, time.Second},
+	refusal.TimeLimit:              {http.StatusGatewayTimeout, 0},
+	refusal.TooLarge:               {http.StatusRequestEntityTooLarge, 0},
 }
 
 // statusOf returns the status and the Retry-After value, empty if none. The
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -41,7 +41,7 @@
 	c.ctx, c.done = ctx, make(chan error, 1)
 	l.mu.Lock()
 	a := l.account(g)
-	if fresh && !a.known && !a.busy {
+	if fresh && !a.busy && !a.known { // while busy, the copy is the goroutine's that commits
 		a.known = true
 	}
 	a.queue = append(a.queue, c)
--- a/internal/process/ledger/line.go
+++ b/internal/process/ledger/line.go
@@ -162,7 +162,7 @@
 		}
 		l.turns.add(id, t, g)
 	}
-	if a := l.account(g); !a.known && !a.busy {
+	if a := l.account(g); !a.busy && !a.known {
 		return l.adopt(g, a, page.Rows)
 	}
 	return nil
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -58,10 +58,12 @@
 
 func (v *vm) address() string { return fmt.Sprintf("127.0.0.1:%d", v.base+2) }
 
-// freePorts returns the first of four consecutive ports that are free.
-func freePorts(t *testing.T, random *rand.Rand) int {
+// freePorts returns the first of four consecutive ports that are free. Each VM has a
+// range of its own: the process of another VM may not listen yet.
+func freePorts(t *testing.T, random *rand.Rand, i int) int {
+	const firstPort, portsPerVM = 20000, 2000
 	for range 1000 {
-		base := 20000 + random.IntN(10000)
+		base := firstPort + i*portsPerVM + random.IntN(portsPerVM-4)
 		free := true
 		for i := range 4 {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
@@ -85,7 +87,7 @@
 	require.NoError(t, err)
 	// Ports do not depend on the seed, since other processes use some.
 	random := rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(i)))
-	v := &vm{name: fmt.Sprintf("vm%d", i), binary: binary, base: freePorts(t, random), link: link}
+	v := &vm{name: fmt.Sprintf("vm%d", i), binary: binary, base: freePorts(t, random, i), link: link}
 	v.file = filepath.Join(folder, v.name+".toml")
 	content := fmt.Appendf(nil, settingsFile, v.name, v.base, v.base+1, v.base+2, v.base+3, int(stopWithin.Seconds()), link.Address())
 	require.NoError(t, os.WriteFile(v.file, content, 0o600))
