Keep one copy of waits and of comparisons of times

Cause: the wait for a duration or the end of a context stood in five packages, the later or earlier of two times in six. Change: internal/process/clock, used by all of them.

--- a/internal/process/control/limithandover.go
+++ b/internal/process/control/limithandover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/limit"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
 )
@@ -97,7 +98,7 @@
 	}
 	self, peers, to := s.self, s.config.Peers, Peer{ID: from, Info: info}
 	s.run(func(ctx context.Context) Event {
-		if !pause(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return nil
 		}
 		e := accountsFetched{self: self, from: from, queries: queries, until: until, askedAt: time.Now()}
@@ -140,15 +141,3 @@
 		s.fetchFrom(e.from, missing, e.until, accountRetry)
 	}
 }
-
-// pause waits on a worker and reports whether it waited to the end.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/process/control/limits.go
+++ b/internal/process/control/limits.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventloop"
 	"hornbeamvale.example/hornbeamvale/internal/process/limit"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
@@ -151,9 +152,9 @@
 		if s.limits.takers[c.Name] != nil {
 			continue
 		}
-		from := latest(notBefore, s.limits.joinedAt.Add(limit.HoldBack))
+		from := clock.Later(notBefore, s.limits.joinedAt.Add(limit.HoldBack))
 		if at, ok := s.limits.removed[c.Name]; ok {
-			from = latest(from, at.Add(limit.HoldBack))
+			from = clock.Later(from, at.Add(limit.HoldBack))
 		}
 		p, _ := s.takerPolicy(c.Name)
 		s.limits.incarnations[c.Name]++
@@ -163,13 +164,6 @@
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (s *State) dueLimits() time.Time {
 	if !s.joined || s.limits.closed || len(s.limits.takers) == 0 {
 		return time.Time{}
--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/share"
 	"hornbeamvale.example/hornbeamvale/internal/version"
 )
@@ -178,7 +179,7 @@
 func (s *State) stepRates(now time.Time) (next time.Time) {
 	for name, a := range s.rates {
 		if !a.fillFrom.IsZero() {
-			next = sooner(next, s.stepFill(now, name, a))
+			next = clock.Earlier(next, s.stepFill(now, name, a))
 		}
 		for len(a.waiting) > 0 && a.bucket.Take(now) {
 			a.admit(a.waiting[0])
@@ -190,11 +191,11 @@
 		}
 		s.borrow(now, name, a)
 		for _, w := range a.waiting {
-			next = sooner(next, w.deadline)
+			next = clock.Earlier(next, w.deadline)
 		}
-		next = sooner(next, a.bucket.NextToken(now))
+		next = clock.Earlier(next, a.bucket.NextToken(now))
 		if !a.borrowing {
-			next = sooner(next, a.askAgain)
+			next = clock.Earlier(next, a.askAgain)
 		}
 	}
 	return next
@@ -228,13 +229,6 @@
 	return time.Time{}
 }
 
-func sooner(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // borrow asks the VMs that have a part of the rate, one after another, for the tokens
 // that are missing.
 func (s *State) borrow(now time.Time, customer string, a *allowance) {
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
 )
@@ -136,7 +137,7 @@
 			err := l.writeSeat(ctx, self)
 			l.note("seat", err)
 			if err != nil {
-				sleep(ctx, watchPause)
+				clock.Sleep(ctx, watchPause)
 				continue
 			}
 			renewed = began
@@ -144,12 +145,12 @@
 		e, err := l.readSeats(ctx)
 		l.note("seats", err)
 		if err != nil {
-			sleep(ctx, watchPause)
+			clock.Sleep(ctx, watchPause)
 			continue
 		}
 		e.heldBefore, e.renewed = heldBefore, renewed
 		l.post(ctx, e)
-		sleep(ctx, seatPoll)
+		clock.Sleep(ctx, seatPoll)
 	}
 }
 
@@ -162,7 +163,7 @@
 		if err == nil {
 			return slices.ContainsFunc(e.seats, func(s seatState) bool { return s.Address == l.config.Self.Address }), true
 		}
-		sleep(ctx, watchPause)
+		clock.Sleep(ctx, watchPause)
 	}
 	return false, false
 }
@@ -302,12 +303,5 @@
 
 // lapsed says whether others may have dropped the own seat.
 func (v *seatView) lapsed(now time.Time) bool {
-	return now.Sub(latest(v.renewed, v.downUntil)) > seatUse
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return now.Sub(clock.Later(v.renewed, v.downUntil)) > seatUse
 }
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
@@ -67,7 +68,7 @@
 		case errors.As(err, &pe) && pe.Kind == platform.HistoryGone:
 			read = false
 		case err != nil:
-			sleep(ctx, watchPause)
+			clock.Sleep(ctx, watchPause)
 		case !read:
 			w.whole(ctx, page)
 			after, read = page.Revision, true
@@ -89,15 +90,6 @@
 	return w.store.Changes(ctx, w.table, after, changeWait)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (l *Loop) watchConfiguration(ctx context.Context) {
 	take := func(ctx context.Context, p platform.Page) {
 		e := configurationRead{at: time.Now()}
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
@@ -94,7 +95,7 @@
 			wait = retryPause
 			continue
 		}
-		if !l.pause(wait) {
+		if !clock.Sleep(l.ctx, wait) {
 			batch = finish(batch, err)
 		}
 		wait = min(2*wait, maxRetryPause)
@@ -112,18 +113,6 @@
 	return kept
 }
 
-// pause waits before the next try; false if the ledger ends.
-func (l *Ledger) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-l.ctx.Done():
-		return false
-	}
-}
-
 // commit tries one transaction with all changes of the batch and returns those
 // that have to be tried again.
 func (l *Ledger) commit(g turntree.Group, a *account, batch []*change) ([]*change, error) {
@@ -174,7 +163,7 @@
 	}
 	a.value, a.revision = value, result.Revision
 	for _, c := range applied {
-		a.expires = latest(a.expires, l.now().Add(c.retention))
+		a.expires = clock.Later(a.expires, l.now().Add(c.retention))
 	}
 	return finish(applied, nil), nil
 }
@@ -244,13 +233,6 @@
 	l.mu.Unlock()
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // expire forgets accounts that were not used for a while and deletes the rows of
 // groups whose turns need not be kept any longer.
 func (l *Ledger) expire(ctx context.Context) {
--- a/internal/process/limit/owner.go
+++ b/internal/process/limit/owner.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 // member is what the owner knows of one VM.
@@ -193,7 +195,7 @@
 	o.level = max(0, o.level-m.grant.Tokens)
 	o.granted += m.grant.Tokens
 	m.outstanding += m.grant.Tokens
-	m.expires = maxTime(m.expires, now.Add(m.grant.Lifetime+margin))
+	m.expires = clock.Later(m.expires, now.Add(m.grant.Lifetime+margin))
 	o.expireBy(m.expires)
 }
 
--- a/internal/process/limit/taker.go
+++ b/internal/process/limit/taker.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 // Taker admits one customer's requests at one VM.
@@ -186,7 +188,7 @@
 			t.expires = time.Time{} // tokens that are gone prolong no others
 		}
 		t.shares += max(0, g.Tokens)
-		t.expires = maxTime(t.expires, until)
+		t.expires = clock.Later(t.expires, until)
 	}
 	t.counted = t.shares
 	if t.expires.Sub(askedAt) <= BriefLifetime {
@@ -222,9 +224,9 @@
 	case t.pending && (demand || t.counted > epsilon || t.acknowledge || t.isRegistered()):
 		return t.askedAt.Add(RetryInterval)
 	case demand || t.recalled || t.acknowledge:
-		return maxTime(t.updated, t.askedAt.Add(AskInterval))
+		return clock.Later(t.updated, t.askedAt.Add(AskInterval))
 	case t.counted > epsilon || t.keep && t.isRegistered():
-		return maxTime(t.updated, t.askedAt.Add(IdleInterval))
+		return clock.Later(t.updated, t.askedAt.Add(IdleInterval))
 	}
 	return t.updated.Add(time.Hour)
 }
@@ -263,10 +265,10 @@
 	if !now.After(t.updated) {
 		return
 	}
-	from := maxTime(t.updated, t.fallbackFrom)
+	from := clock.Later(t.updated, t.fallbackFrom)
 	if t.policy.due(now) {
 		t.fallback = fill(t.fallback, t.policy.now.rate, t.policy.now.burst, from, t.policy.at)
-		from = maxTime(from, t.policy.at)
+		from = clock.Later(from, t.policy.at)
 		t.policy.apply()
 	}
 	t.fallback = fill(t.fallback, t.policy.now.rate, t.policy.now.burst, from, now)
@@ -291,10 +293,3 @@
 	t.fallback = max(0, t.fallback-(n-a-s))
 	return true
 }
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/process/queue/order.go
+++ b/internal/process/queue/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 // localityWeight is how far a call moves in the orders for each millisecond of
@@ -117,7 +119,7 @@
 			continue
 		}
 		if until := w.heldUntil(at); at.Wasted > 0 && now.Before(until) {
-			best.held = earliest(best.held, until)
+			best.held = clock.Earlier(best.held, until)
 			continue
 		}
 		if key := w.key + at.shift(orderWindow); best.call == nil || key < bestKey {
@@ -126,11 +128,3 @@
 	}
 	return best
 }
-
-// earliest returns the earlier time; zero means none.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/process/queue/queue.go
+++ b/internal/process/queue/queue.go
@@ -5,7 +5,11 @@
 // by the control loop only.
 package queue
 
-import "time"
+import (
+	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
+)
 
 // ageing is the attained service, in milliseconds, that one second of waiting
 // makes up for. So a run that has had 100 s of service waits at most 10 s behind
@@ -162,7 +166,7 @@
 			continue
 		}
 		first := c.items.best(now, locate)
-		q.held = earliest(q.held, first.held)
+		q.held = clock.Earlier(q.held, first.held)
 		if first.call == nil {
 			continue
 		}
@@ -221,7 +225,7 @@
 		next = q.held
 	}
 	for _, w := range q.byID {
-		next = earliest(next, w.Deadline)
+		next = clock.Earlier(next, w.Deadline)
 	}
 	return next, !next.IsZero()
 }
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 )
 
@@ -296,12 +297,7 @@
 				p.changed(Direct)
 				break
 			}
-			timer := time.NewTimer(probeInterval)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				timer.Stop()
-			}
+			clock.Sleep(ctx, probeInterval)
 		}
 	}
 }
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
@@ -93,7 +94,7 @@
 		if try == pickTries {
 			return replica.Candidate{}, refusal.New(refusal.NoReplica, "none of %d replicas of %q takes the request", picked.Of, x.endpoint).After(retrySoon)
 		}
-		if !pause(x.ctx, pickPause) {
+		if !clock.Sleep(x.ctx, pickPause) {
 			return replica.Candidate{}, x.late(refusal.NotRun)
 		}
 	}
@@ -107,17 +108,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try sends the request to one replica. It reports whether the caller has its
 // answer, or an answer that was broken off, and otherwise why not.
 func (x *exchange) try(to replica.Candidate, prompt []byte) (answered bool, why *refusal.Refusal) {
--- a/internal/request/turn/entry.go
+++ b/internal/request/turn/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/control"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
@@ -145,7 +146,7 @@
 			return worst(why, known)
 		}
 		e.Log.Add(eventlog.Event{Kind: eventlog.TurnRetried, Customer: t.Customer, Run: t.Call.Run, Turn: int64(t.Call.Turn), Detail: why.Message})
-		if sleep(ctx, ownerRetry) != nil {
+		if !clock.Sleep(ctx, ownerRetry) {
 			return worst(why, known)
 		}
 		relay.restart()
@@ -226,20 +227,8 @@
 		if why == nil || why.Code != refusal.OwnerUnavailable || time.Now().After(deadline) {
 			return why
 		}
-		if sleep(ctx, ownerRetry) != nil {
+		if !clock.Sleep(ctx, ownerRetry) {
 			return why
 		}
 	}
 }
-
-// sleep waits without spinning and fails when ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
