--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,17 @@
 
 PACKAGES := ./... ./operator/... ./standin/...
 
-.PHONY: all build fmt lint test fuzz bench demo clean
+.PHONY: all build deploy fmt lint test soak fuzz bench demo clean
 
 all: lint build test
 
 build:
 	go build -o bin/ ./cmd/... ./standin/cmd/...
 
+# Builds as the users' platform does: linked against the C library.
+deploy:
+	$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
 fmt:
 	go tool gofumpt -w .
 
@@ -22,6 +26,10 @@
 test: build
 	./scripts/test.sh $(PACKAGES)
 
+# Runs fifty seeds of the fault soak, some minutes. "make test" runs two.
+soak:
+	go test ./soak -run TestSoak -seeds 50 -first $${FIRST:-1} -duration 6s -timeout 60m
+
 # Runs each fuzz target for a short, fixed number of executions.
 fuzz:
 	./scripts/fuzz.sh
--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -383,3 +383,17 @@
 	require.NoError(t, <-r.vms[0].done)
 	r.vms[0].done <- nil
 }
+
+// TestIsolatedVMStopsAdmitting guards against a withdrawn key that works on at a VM
+// that is cut off from the store and from all other VMs.
+func TestIsolatedVMStopsAdmitting(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.SetDown(true)
+	r.eventually(func() bool { return !r.ready(0) })
+	r.eventually(func() bool {
+		got := r.send(0, "GET", "/read/1", nil)
+		return got.status == 503 && strings.Contains(got.body, "stale_configuration")
+	})
+	r.store.SetDown(false)
+	r.eventually(func() bool { return r.ready(0) && r.send(0, "GET", "/read/1", nil).status == 200 })
+}
--- a/internal/request/relay/admit.go
+++ b/internal/request/relay/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
+	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
 
@@ -14,7 +15,11 @@
 	if s.Table == nil {
 		return refusal.New(refusal.NoConfiguration, "this VM has read no configuration yet").After(retrySoon)
 	}
-	certain := now.Sub(s.ConfirmedAt) < confirmedFor
+	age := now.Sub(s.ConfirmedAt)
+	if age > staleAfter && x.Store.State() == storepath.Isolated {
+		return stale()
+	}
+	certain := age < confirmedFor
 	x.table = s.Table
 	route, ok := s.Table.Match(x.request.Host, x.request.Path)
 	if !ok {
@@ -44,5 +49,9 @@
 	if certain {
 		return why
 	}
-	return refusal.New(refusal.StaleConfiguration, "this VM cannot confirm its configuration").After(retrySoon)
+	return stale()
+}
+
+func stale() *refusal.Refusal {
+	return refusal.New(refusal.StaleConfiguration, "this VM cannot confirm its configuration").After(elsewhere)
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -28,6 +28,10 @@
 	// confirmedFor is how long a configuration counts as the newest after the store
 	// said so. It is above the time between two reads of the changes (1.5 s).
 	confirmedFor = 2500 * time.Millisecond
+	// staleAfter is how long a VM that is cut off from everything admits requests by
+	// the configuration that it has. A withdrawn key then stops within seconds; while
+	// the store is down for all VMs, no key can be withdrawn.
+	staleAfter = 5 * time.Second
 	// retrySoon is when a refused caller should try another VM.
 	retrySoon = 100 * time.Millisecond
 	// elsewhere is when a caller should try another VM because this one is cut off.
