Remove what the platform mode decodes and never uses, rank holders once for each seat

Cause: the read-through found a method and fields that nothing reads (Route.Serves, Route.Target, HealthPath, MaxConnections, limits for headers and idle time), an unused parameter, holders of a new customer chosen twice, a hash of each seat in every comparison of the sort, and three comments that no longer held. Change: they are removed or corrected; the order of holders is the same. Tests and their assertions are untouched.

--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -140,10 +140,9 @@
 		present[c.Name] = true
 		a := s.rates[c.Name]
 		if a == nil {
-			a = &allowance{bucket: share.NewBucket(now, 0, 0, 1), starts: share.NewStarts(now)}
+			// A part of a new customer was no other VM's before, so it needs no wait.
+			a = &allowance{bucket: share.NewBucket(now, 0, 0, 1), starts: share.NewStarts(now), holds: true}
 			s.rates[c.Name] = a
-			a.holders = s.seats.holders(c.Name, c.Rate)
-			a.holds = s.seats.isSelf(a.holders)
 		}
 		a.unlimited = c.Rate >= Unlimited
 		s.applyRate(now, c, a)
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -28,8 +28,8 @@
 	seatTTL     = 10 * time.Second
 	// seatRemoval is when the row of a silent seat is deleted.
 	seatRemoval = time.Minute
-	// joinWait is how long a new seat is not used: by then every VM that can reach the
-	// store has read it and divides the rates by one more.
+	// joinWait is how long a new seat, or a part of a rate that moved to this VM, is
+	// not used: by then every VM that can reach the store has read the change.
 	joinWait = seatPoll + time.Second
 	// peerPause is how long a VM that did not answer is not asked.
 	peerPause = time.Second
@@ -77,7 +77,7 @@
 	return seatView{self: self, held: map[string]seatState{}, failed: map[string]time.Time{}}
 }
 
-// count returns by how many seats the rates are divided.
+// count returns the number of seats; a VM that has read none counts itself.
 func (v *seatView) count() int { return max(1, len(v.held)) }
 
 // all returns the seats, ordered by address.
@@ -94,16 +94,25 @@
 // rate, so that each part holds some tokens. All VMs with the same view choose the
 // same; a VM that joins or goes changes no more than one of them.
 func (v *seatView) holders(customer string, rate float64) []Seat {
-	all := v.all()
-	n := min(len(all), max(minHolders, int(rate/minPart)))
-	slices.SortStableFunc(all, func(a, b Seat) int {
-		return cmp.Compare(hashing.Sum("holder", customer, a.Address), hashing.Sum("holder", customer, b.Address))
+	type ranked struct {
+		rank uint64
+		seat Seat
+	}
+	order := make([]ranked, 0, len(v.held))
+	for _, h := range v.held {
+		order = append(order, ranked{hashing.Sum("holder", customer, h.Address), h.Seat})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.seat.Address, b.seat.Address))
 	})
-	return all[:n]
+	chosen := make([]Seat, min(len(order), max(minHolders, int(rate/minPart))))
+	for i := range chosen {
+		chosen[i] = order[i].seat
+	}
+	return chosen
 }
 
-// isSelf says whether the own seat is among the given ones. A VM that has read no
-// seats yet is alone.
+// isSelf says whether the own seat is among the given ones.
 func (v *seatView) isSelf(seats []Seat) bool {
 	return slices.ContainsFunc(seats, func(s Seat) bool { return s.Address == v.self.Address })
 }
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -123,7 +123,7 @@
 	}
 	reply, err := makeCall(ctx, p.direct, c)
 	if err != nil {
-		p.directFailed(err)
+		p.directFailed()
 		return Reply{Failed: kindOf(err), Reason: err.Error()}
 	}
 	return reply
@@ -181,7 +181,7 @@
 		if err == nil || kindOf(err) == platform.HistoryGone {
 			return reply, err
 		}
-		p.directFailed(err)
+		p.directFailed()
 		if c.Transact != nil && kindOf(err) != platform.NotApplied || ctx.Err() != nil {
 			return reply, err
 		}
@@ -255,7 +255,7 @@
 
 // directFailed leaves the direct way. A failed condition of a single part or a call
 // beyond the store's rate says nothing on the way, but a probe soon tells.
-func (p *Path) directFailed(error) {
+func (p *Path) directFailed() {
 	if !p.state.CompareAndSwap(int32(Direct), int32(Detour)) {
 		return
 	}
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// urgency orders turns at a model replica by what their program has left.
+// urgency is the rank of a turn at a model replica; plain services have none.
 func (x *exchange) urgency() int {
 	if x.route.Kind != routing.Stream {
 		return -1
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -39,9 +39,6 @@
 	Kind   Kind
 	// Timeout is the longest time that a request may be kept waiting.
 	Timeout time.Duration
-	// Target is the time within which an answer earns its full worth: up to the
-	// whole answer, or to the first event of a stream.
-	Target time.Duration
 	// Priority is the rank of the route's requests; 0 goes first.
 	Priority int
 	Targets  []Target
@@ -77,17 +74,9 @@
 	return r.Targets[len(r.Targets)-1].Endpoint
 }
 
-// Serves says whether the route sends requests to the endpoint.
-func (r *Route) Serves(endpoint string) bool {
-	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Endpoint == endpoint && t.Weight > 0 })
-}
-
 // Endpoint is a back end of the table.
 type Endpoint struct {
-	Name, HealthPath string
-	// MaxConnections is the number of connections that a replica accepts from all
-	// callers together; 0 if not stated.
-	MaxConnections int
+	Name string
 	// EventTokens is the number of tokens in an event of a model's stream; 0 for a
 	// plain service.
 	EventTokens int
@@ -95,8 +84,7 @@
 
 // CallerLimits bound what a caller may send.
 type CallerLimits struct {
-	MaxHeaderBytes, MaxBodyBytes int
-	HeaderTimeout, IdleTimeout   time.Duration
+	MaxBodyBytes int // 0 if not stated
 }
 
 // Document is a configuration before it is compiled. Customers carry digests of
