Let one VM make all changes of a program's account

Counted over the first 14 s at two VMs: a third of the accepted transactions failed their condition, since the turns of a program come through changing VMs, and each change of the VM costs a read besides.

Change: a rendezvous hash over the seats names a home for each group. Other VMs send it the opening, the record and the settlement of a turn in one message each; it has the account and the turns in memory. A home is a preference: the store's conditions decide as before, every change may be made twice, and a VM does the work itself when two homes do not answer.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -20,9 +20,11 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
+	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/internal/request/fleetrpc"
 	"hornbeamvale.example/hornbeamvale/internal/request/placement"
 	"hornbeamvale.example/hornbeamvale/internal/request/relay"
+	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
 	"hornbeamvale.example/hornbeamvale/platform/connection"
 	platformprocess "hornbeamvale.example/hornbeamvale/platform/process"
 	platformrequest "hornbeamvale.example/hornbeamvale/platform/request"
@@ -144,12 +146,13 @@
 	})
 	server.Loop, server.Path = d.loop, d.store
 	d.ledger = ledger.New(running, d.store, int(turnCachePart*float64(s.MemoryBytes)))
+	server.Ledger = d.ledger
 	instruments, metrics, err := d.newMetrics()
 	if err != nil {
 		return nil, err
 	}
 	relays := &relay.Server{
-		Loop: d.loop, Ledger: d.ledger, Replicas: d.replicas, Store: d.store, Log: log, Metrics: instruments,
+		Loop: d.loop, Ledger: ledger.NewHomes(d.ledger, log, d.home), Replicas: d.replicas, Store: d.store, Log: log, Metrics: instruments,
 	}
 	d.callers = &http.Server{
 		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, Leaving: d.leaving}),
@@ -201,6 +204,23 @@
 	return out
 }
 
+// home returns the VM that makes the changes of a group; false if it is this one.
+// All VMs with the same list choose the same.
+func (d *fleetDaemon) home(g turntree.Group, passedOver func(vm string) bool) (ledger.Home, bool) {
+	var best fleet.Seat
+	var most uint64
+	for _, seat := range d.loop.Snapshot().Seats {
+		rank := hashing.Sum("home", string(g), seat.Address)
+		if rank >= most && (seat.VM == d.settings.VM || !passedOver(seat.VM)) {
+			best, most = seat, rank
+		}
+	}
+	if best.VM == "" || best.VM == d.settings.VM {
+		return nil, false
+	}
+	return fleetrpc.Home{Manager: d.peers, Seat: best}, true
+}
+
 func (d *fleetDaemon) listen() ([]net.Listener, error) {
 	var out []net.Listener
 	for _, a := range []netip.AddrPort{d.settings.Peers, d.settings.Callers, d.settings.Ready, d.settings.Metrics} {
--- a/cmd/hornbeamvaled/fleetmetrics.go
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -38,6 +38,8 @@
 	conflicts := m.count("hornbeamvale_ledger_conflicts", "Transactions that another VM came before")
 	reads := m.count("hornbeamvale_ledger_reads", "Reads of turns and budgets")
 	retries := m.count("hornbeamvale_ledger_retries", "Transactions that failed and were tried again")
+	homes := m.count("hornbeamvale_ledger_home_calls", "Changes of turns and budgets that went to the group's home")
+	homeless := m.count("hornbeamvale_ledger_home_fallbacks", "Changes that this VM made since no home answered")
 	detoured := m.count("hornbeamvale_store_detours", "Calls of the store that went through another VM")
 	state := m.gauge("hornbeamvale_store_state", "Way to the store: 0 direct, 1 through other VMs, 2 down, 3 isolated")
 	dials := m.count("hornbeamvale_replica_connections", "Connections opened to replicas")
@@ -59,11 +61,13 @@
 		o.ObserveInt64(conflicts, l.Conflicts)
 		o.ObserveInt64(reads, l.Reads)
 		o.ObserveInt64(retries, l.Retries)
+		o.ObserveInt64(homes, l.Homes)
+		o.ObserveInt64(homeless, l.Homeless)
 		o.ObserveInt64(dials, d.replicas.Dials())
 		o.ObserveInt64(detoured, d.store.Detoured())
 		o.ObserveInt64(state, int64(d.store.State()))
 		return nil
-	}, cpu, events, version, replicas, seats, ready, dropped, transactions, conflicts, reads, retries, dials, detoured, state)
+	}, cpu, events, version, replicas, seats, ready, dropped, transactions, conflicts, reads, retries, homes, homeless, dials, detoured, state)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -41,7 +41,11 @@
 	ShareGrant    Type = 61
 	StoreAsk      Type = 62
 	StoreReply    Type = 63
-	typeLimit          = 64 // one more than the largest type
+	LedgerOpen    Type = 64
+	LedgerRecord  Type = 65
+	LedgerSettle  Type = 66
+	LedgerReply   Type = 67
+	typeLimit          = 68 // one more than the largest type
 )
 
 // role says what a message does when its stream id is new to the receiver.
@@ -57,7 +61,8 @@
 	switch t {
 	case TurnRequest:
 		return roleStream
-	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk, StoreAsk:
+	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk, StoreAsk,
+		LedgerOpen, LedgerRecord, LedgerSettle:
 		return roleCall
 	}
 	return roleNone
--- a/internal/connection/peer/names.go
+++ b/internal/connection/peer/names.go
@@ -9,6 +9,7 @@
 	SlotNotice: "slot_notice", EventQuery: "event_query", EventPage: "event_page",
 	StatusQuery: "status_query", StatusPage: "status_page", ShareAsk: "share_ask", ShareGrant: "share_grant",
 	StoreAsk: "store_ask", StoreReply: "store_reply",
+	LedgerOpen: "ledger_open", LedgerRecord: "ledger_record", LedgerSettle: "ledger_settle", LedgerReply: "ledger_reply",
 }
 
 // Types returns the names of all message types.
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -28,6 +28,7 @@
 // change is one change of an account.
 type change struct {
 	op, turn  string
+	reserves  bool
 	retention time.Duration
 	// apply changes the account and returns further rows of the transaction. It may
 	// be called more than once, and must not change anything if it fails.
@@ -59,7 +60,7 @@
 		err = context.Cause(ctx)
 	}
 	if err != nil {
-		return &Error{Op: c.op, Turn: c.turn, Err: err}
+		return &Error{Op: c.op, Turn: c.turn, Reserved: c.reserves && !errors.Is(err, ErrBudget), Err: err}
 	}
 	return nil
 }
--- a/internal/process/ledger/cache.go
+++ b/internal/process/ledger/cache.go
@@ -9,20 +9,20 @@
 // entryBytes is the memory of a cached turn besides its bodies.
 const entryBytes = 400
 
-// cached is a turn with the group from which it was taken.
-type cached struct {
-	id    string
-	turn  turntree.Turn
-	group turntree.Group
+// KeptTurn is a turn with the group from which it was taken.
+type KeptTurn struct {
+	ID    string         `msgpack:"i"`
+	Group turntree.Group `msgpack:"g"`
+	Turn  turntree.Turn  `msgpack:"t"`
 }
 
-func (c cached) size() int { return len(c.turn.Input) + len(c.turn.Output) + entryBytes }
+func (k KeptTurn) size() int { return len(k.Turn.Input) + len(k.Turn.Output) + entryBytes }
 
 // turnCache keeps the turns that were used last, up to a number of bytes. Turns
 // never change, so an entry cannot be stale.
 type turnCache struct {
 	limit, size int
-	order       *list.List // of cached, most recently used first
+	order       *list.List // of KeptTurn, most recently used first
 	byID        map[string]*list.Element
 }
 
@@ -30,26 +30,25 @@
 	return &turnCache{limit: limit, order: list.New(), byID: map[string]*list.Element{}}
 }
 
-func (c *turnCache) get(id string) (cached, bool) {
+func (c *turnCache) get(id string) (KeptTurn, bool) {
 	e, ok := c.byID[id]
 	if !ok {
-		return cached{}, false
+		return KeptTurn{}, false
 	}
 	c.order.MoveToFront(e)
-	return e.Value.(cached), true
+	return e.Value.(KeptTurn), true
 }
 
-func (c *turnCache) add(id string, t turntree.Turn, g turntree.Group) {
-	if _, ok := c.byID[id]; ok {
+func (c *turnCache) add(entry KeptTurn) {
+	if _, ok := c.byID[entry.ID]; ok {
 		return
 	}
-	entry := cached{id: id, turn: t, group: g}
-	c.byID[id] = c.order.PushFront(entry)
+	c.byID[entry.ID] = c.order.PushFront(entry)
 	c.size += entry.size()
 	for c.size > c.limit && c.order.Len() > 1 {
 		last := c.order.Back()
-		gone := c.order.Remove(last).(cached)
-		delete(c.byID, gone.id)
+		gone := c.order.Remove(last).(KeptTurn)
+		delete(c.byID, gone.ID)
 		c.size -= gone.size()
 	}
 }
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -54,7 +54,9 @@
 type Error struct {
 	Op   string
 	Turn string
-	Err  error
+	// Reserved says that the turn's reservation may stand.
+	Reserved bool
+	Err      error
 }
 
 // Error implements error.
@@ -66,6 +68,9 @@
 // Counters count the ledger's work.
 type Counters struct {
 	Transactions, Conflicts, Reads, Retries int64
+	// Homes counts the calls that went to a group's home, Homeless those that fell
+	// back to this VM.
+	Homes, Homeless int64
 }
 
 // Ledger is one VM's access to the records. It is safe for concurrent use: it is
@@ -95,62 +100,74 @@
 	return l.counters
 }
 
-// Reservation asks for a turn's part of its program's budget.
-type Reservation struct {
-	Group    turntree.Group
-	Customer string
-	// Turn is the request's id.
-	Turn string
+// Opening is a turn that is about to be dispatched.
+type Opening struct {
+	Group    turntree.Group `msgpack:"g"`
+	Customer string         `msgpack:"c"`
+	// Turn is the request's id, Parent that of the turn that it continues.
+	Turn   string `msgpack:"t"`
+	Parent string `msgpack:"p,omitempty"`
 	// Most is the largest number of tokens that the turn generates, Budget that of
 	// all turns of the program; 0 means no bound.
-	Most, Budget int64
-	// First says that the program probably has no record yet.
-	First bool
+	Most   int64 `msgpack:"m"`
+	Budget int64 `msgpack:"b"`
+	// HasLine says that the line need not be returned.
+	HasLine bool `msgpack:"h,omitempty"`
 }
 
-// Reserve makes the turn's bound durable before the turn is dispatched. After any
-// error but ErrBudget the reservation may stand, and the caller has to Settle it.
-func (l *Ledger) Reserve(ctx context.Context, r Reservation) error {
-	return l.change(ctx, r.Group, r.First, &change{
-		op: "reserve", turn: r.Turn,
+// Open returns the line that the turn continues and makes the turn's bound durable
+// before the turn is dispatched. After an error with Reserved the reservation may
+// stand, and the caller has to settle it.
+func (l *Ledger) Open(ctx context.Context, o Opening) (Line, error) {
+	var line Line
+	if !o.HasLine {
+		var err error
+		if line, err = l.Line(ctx, o.Group, o.Customer, o.Parent); err != nil {
+			return Line{}, err
+		}
+	}
+	err := l.change(ctx, o.Group, o.Parent == "", &change{
+		op: "reserve", turn: o.Turn, reserves: true,
 		apply: func(a *turntree.Account) ([]platform.Write, error) {
-			a.Customer = r.Customer
-			if !a.Reserve(r.Turn, r.Most, r.Budget) {
+			a.Customer = o.Customer
+			if !a.Reserve(o.Turn, o.Most, o.Budget) {
 				return nil, ErrBudget
 			}
 			return nil, nil
 		},
 	})
+	return line, err
 }
 
-// Settle replaces a reservation by the tokens that callers received. It returns at
-// once and is tried until it is durable.
-func (l *Ledger) Settle(group turntree.Group, turn string, used int64) {
-	l.wait.Go(func() {
-		ctx, cancel := context.WithTimeout(l.ctx, settleFor)
-		defer cancel()
-		// A failure leaves the reservation, which counts as spent.
-		_ = l.change(ctx, group, false, &change{
-			op: "settle", turn: turn,
-			apply: func(a *turntree.Account) ([]platform.Write, error) {
-				a.Settle(turn, used)
-				return nil, nil
-			},
-		})
+// Settlement replaces a turn's reservation by the tokens that its caller received.
+type Settlement struct {
+	Group turntree.Group `msgpack:"g"`
+	Turn  string         `msgpack:"t"`
+	Used  int64          `msgpack:"u"`
+}
+
+// Settle makes a settlement durable.
+func (l *Ledger) Settle(ctx context.Context, s Settlement) error {
+	return l.change(ctx, s.Group, false, &change{
+		op: "settle", turn: s.Turn,
+		apply: func(a *turntree.Account) ([]platform.Write, error) {
+			a.Settle(s.Turn, s.Used)
+			return nil, nil
+		},
 	})
 }
 
 // Ended is a turn whose answer is complete.
 type Ended struct {
-	Group turntree.Group
-	ID    string
-	Turn  turntree.Turn
+	Group turntree.Group `msgpack:"g"`
+	ID    string         `msgpack:"i"`
+	Turn  turntree.Turn  `msgpack:"t"`
 	// Used is the number of tokens in the answer.
-	Used int64
-	// Line is the line that the turn continues, as returned by Line.
-	Line Line
+	Used int64 `msgpack:"u"`
+	// Line is the line that the turn continues, as returned by Open.
+	Line Line `msgpack:"l"`
 	// Retention is how long the turn is kept.
-	Retention time.Duration
+	Retention time.Duration `msgpack:"r"`
 }
 
 // Record makes an ended turn durable together with its settlement. The answer must
@@ -168,13 +185,20 @@
 		},
 	})
 	if err == nil {
-		l.mu.Lock()
-		l.turns.add(e.ID, e.Turn, e.Group)
-		l.mu.Unlock()
+		l.keep(KeptTurn{ID: e.ID, Group: e.Group, Turn: e.Turn})
 	}
 	return err
 }
 
+// keep takes turns that are durable into memory.
+func (l *Ledger) keep(turns ...KeptTurn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range turns {
+		l.turns.add(t)
+	}
+}
+
 // turnWrites returns the rows of an ended turn. Turns of other groups that it
 // continues are copied, so that each group can expire by itself.
 func turnWrites(e Ended) ([]platform.Write, error) {
@@ -183,11 +207,8 @@
 		return nil, err
 	}
 	writes = append(writes, platform.Write{Key: platform.Key{Table: indexTable, Key: e.ID}, Value: []byte(e.Group)})
-	for _, t := range e.Line.turns {
-		if t.group == e.Group {
-			continue
-		}
-		copied, err := chunked(turnKey(e.Group, t.id), t.turn)
+	for _, t := range e.Line.outside(e.Group).Turns {
+		copied, err := chunked(turnKey(e.Group, t.ID), t.Turn)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -33,16 +33,22 @@
 
 func group(program string) turntree.Group { return turntree.GroupOf(customer, program) }
 
+// reserve opens a turn for its reservation only.
+func reserve(t *testing.T, l *ledger.Ledger, o ledger.Opening) error {
+	t.Helper()
+	_, err := l.Open(t.Context(), o)
+	return err
+}
+
 // take runs one turn with the given input and output to its end.
 func take(t *testing.T, l *ledger.Ledger, program, parent, id, text string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	line, err := l.Line(ctx, group(program), customer, parent)
+	line, err := l.Open(ctx, ledger.Opening{
+		Group: group(program), Customer: customer, Turn: id, Parent: parent, Most: 10, Budget: 1000,
+	})
 	require.NoError(t, err)
-	require.NoError(t, l.Reserve(ctx, ledger.Reservation{
-		Group: group(program), Customer: customer, Turn: id, Most: 10, Budget: 1000, First: parent == "",
-	}))
 	require.NoError(t, l.Record(ctx, ledger.Ended{
 		Group: group(program), ID: id, Used: 4, Line: line,
 		Turn: turntree.Turn{Customer: customer, Parent: parent, Input: []byte(text + "?"), Output: []byte(text + "!\n")},
@@ -122,8 +128,8 @@
 		wait.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
-			err := vms[i%len(vms)].Reserve(ctx, ledger.Reservation{
-				Group: group("p"), Customer: customer, Turn: fmt.Sprint("t", i), Most: most, Budget: budget, First: true,
+			_, err := vms[i%len(vms)].Open(ctx, ledger.Opening{
+				Group: group("p"), Customer: customer, Turn: fmt.Sprint("t", i), Most: most, Budget: budget,
 			})
 			switch {
 			case err == nil:
@@ -143,19 +149,19 @@
 func TestSettledTokensAreFree(t *testing.T) {
 	store := platformtest.NewStore(t)
 	a, b := vm(t, store), vm(t, store)
-	r := ledger.Reservation{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100}
-	require.NoError(t, a.Reserve(t.Context(), r))
+	r := ledger.Opening{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100}
+	require.NoError(t, reserve(t, a, r))
 	r.Turn = "2"
-	require.ErrorIs(t, b.Reserve(t.Context(), r), ledger.ErrBudget)
-	a.Settle(r.Group, "1", 10)
-	require.Eventually(t, func() bool { return b.Reserve(t.Context(), r) == nil }, 5*time.Second, 10*time.Millisecond)
+	require.ErrorIs(t, reserve(t, b, r), ledger.ErrBudget)
+	require.NoError(t, a.Settle(t.Context(), ledger.Settlement{Group: r.Group, Turn: "1", Used: 10}))
+	require.NoError(t, reserve(t, b, r))
 }
 
 // TestRecordWaitsForTheStore guards against a turn that ends while it is not durable.
 func TestRecordWaitsForTheStore(t *testing.T) {
 	store := platformtest.NewStore(t)
 	l := vm(t, store)
-	require.NoError(t, l.Reserve(t.Context(), ledger.Reservation{Group: group("p"), Customer: customer, Turn: "1", Most: 5}))
+	require.NoError(t, reserve(t, l, ledger.Opening{Group: group("p"), Customer: customer, Turn: "1", Most: 5}))
 	store.SetDown(true)
 	ended := ledger.Ended{Group: group("p"), ID: "1", Turn: turntree.Turn{Customer: customer, Input: []byte("i")}}
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
@@ -190,11 +196,11 @@
 	direct := connection.NewStore(store.Address())
 	f := &failing{PartedStore: direct}
 	l := ledger.New(t.Context(), f, cache)
-	r := ledger.Reservation{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100, First: true}
-	require.NoError(t, l.Reserve(t.Context(), r))
+	r := ledger.Opening{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100}
+	require.NoError(t, reserve(t, l, r))
 	result, err := direct.Transact(t.Context(), *f.hold.Load())
 	require.NoError(t, err)
 	require.False(t, result.Committed)
 	r.Turn = "2"
-	require.ErrorIs(t, vm(t, store).Reserve(t.Context(), r), ledger.ErrBudget)
+	require.ErrorIs(t, reserve(t, vm(t, store), r), ledger.ErrBudget)
 }
--- a/internal/process/ledger/line.go
+++ b/internal/process/ledger/line.go
@@ -26,33 +26,64 @@
 
 // Line is the turns from the start of a line to the one that is continued, oldest
 // first.
-type Line struct{ turns []cached }
+type Line struct {
+	Turns []KeptTurn `msgpack:"t,omitempty"`
+}
 
 // Len returns the number of turns.
-func (l Line) Len() int { return len(l.turns) }
+func (l Line) Len() int { return len(l.Turns) }
 
 // Replica returns the replica that answered the last turn; empty if not known.
 func (l Line) Replica() string {
-	if len(l.turns) == 0 {
+	if len(l.Turns) == 0 {
 		return ""
 	}
-	return l.turns[len(l.turns)-1].turn.Replica
+	return l.Turns[len(l.Turns)-1].Turn.Replica
 }
 
 // Prompt returns what a replica has to read for a further input: the inputs and
 // outputs of all turns in order, then the input.
 func (l Line) Prompt(input []byte) []byte {
 	size := len(input)
-	for _, t := range l.turns {
-		size += len(t.turn.Input) + len(t.turn.Output)
+	for _, t := range l.Turns {
+		size += len(t.Turn.Input) + len(t.Turn.Output)
 	}
 	prompt := make([]byte, 0, size)
-	for _, t := range l.turns {
-		prompt = append(append(prompt, t.turn.Input...), t.turn.Output...)
+	for _, t := range l.Turns {
+		prompt = append(append(prompt, t.Turn.Input...), t.Turn.Output...)
 	}
 	return append(prompt, input...)
 }
 
+// outside returns the turns that are not of the group.
+func (l Line) outside(g turntree.Group) Line {
+	var out Line
+	for _, t := range l.Turns {
+		if t.Group != g {
+			out.Turns = append(out.Turns, t)
+		}
+	}
+	return out
+}
+
+// inMemory returns the line that ends with the turn parent of the customer if this VM has
+// all of it in memory.
+func (l *Ledger) inMemory(customer, parent string) (Line, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var line Line
+	for id := parent; id != ""; {
+		t, ok := l.turns.get(id)
+		if !ok || t.Turn.Customer != customer {
+			return Line{}, false
+		}
+		line.Turns = append(line.Turns, t)
+		id = t.Turn.Parent
+	}
+	slices.Reverse(line.Turns)
+	return line, true
+}
+
 // Line returns the line that ends with the turn parent of the customer. The group
 // is that of the program that continues it.
 func (l *Ledger) Line(ctx context.Context, g turntree.Group, customer, parent string) (Line, error) {
@@ -60,21 +91,21 @@
 	at := g
 	for id := parent; id != ""; {
 		t, err := l.find(ctx, at, id)
-		if err == nil && t.turn.Customer != customer {
+		if err == nil && t.Turn.Customer != customer {
 			err = ErrNoTurn
 		}
 		if err != nil {
 			return Line{}, &Error{Op: "read", Turn: parent, Err: err}
 		}
-		line.turns = append(line.turns, t)
-		id, at = t.turn.Parent, t.group
+		line.Turns = append(line.Turns, t)
+		id, at = t.Turn.Parent, t.Group
 	}
-	slices.Reverse(line.turns)
+	slices.Reverse(line.Turns)
 	return line, nil
 }
 
 // find returns a turn from memory, from its probable group or by the index.
-func (l *Ledger) find(ctx context.Context, g turntree.Group, id string) (cached, error) {
+func (l *Ledger) find(ctx context.Context, g turntree.Group, id string) (KeptTurn, error) {
 	l.mu.Lock()
 	t, ok := l.turns.get(id)
 	l.mu.Unlock()
@@ -82,7 +113,7 @@
 		return t, nil
 	}
 	if err := l.load(ctx, g); err != nil {
-		return cached{}, err
+		return KeptTurn{}, err
 	}
 	l.mu.Lock()
 	t, ok = l.turns.get(id)
@@ -92,19 +123,19 @@
 	}
 	found, err := l.lookUp(ctx, id)
 	if err != nil {
-		return cached{}, err
+		return KeptTurn{}, err
 	}
 	if found == "" {
-		return cached{}, ErrNoTurn
+		return KeptTurn{}, ErrNoTurn
 	}
 	if err := l.load(ctx, found); err != nil {
-		return cached{}, err
+		return KeptTurn{}, err
 	}
 	l.mu.Lock()
 	t, ok = l.turns.get(id)
 	l.mu.Unlock()
 	if !ok {
-		return cached{}, ErrNoTurn
+		return KeptTurn{}, ErrNoTurn
 	}
 	return t, nil
 }
@@ -160,7 +191,7 @@
 		if err != nil {
 			return fmt.Errorf("turn %s: %w", id, err)
 		}
-		l.turns.add(id, t, g)
+		l.turns.add(KeptTurn{ID: id, Group: g, Turn: t})
 	}
 	if a := l.account(g); !a.busy && !a.known {
 		return l.adopt(g, a, page.Rows)
--- a/internal/request/fleetrpc/fleetrpc.go
+++ b/internal/request/fleetrpc/fleetrpc.go
@@ -8,6 +8,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
+	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
@@ -81,8 +82,9 @@
 
 // Server answers other VMs. It implements peer.Handler.
 type Server struct {
-	Loop *fleet.Loop
-	Path *storepath.Path
+	Loop   *fleet.Loop
+	Path   *storepath.Path
+	Ledger *ledger.Ledger
 }
 
 // Stream implements peer.Handler; VMs of a fleet open none.
@@ -100,6 +102,8 @@
 		}
 		payload, err := peer.Encode(s.Path.Serve(ctx, c))
 		return peer.Message{Type: peer.StoreReply, Payload: payload}, err
+	case peer.LedgerOpen, peer.LedgerRecord, peer.LedgerSettle:
+		return s.keep(ctx, m)
 	}
 	return peer.Message{}, refusal.New(refusal.BadRequest, "message type %d is not served", m.Type)
 }
--- /dev/null
+++ b/internal/request/fleetrpc/home.go
@@ -0,0 +1,109 @@
+package fleetrpc
+
+import (
+	"context"
+	"errors"
+
+	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
+	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
+	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
+)
+
+// The outcomes of a call at a home.
+const (
+	homeDone   = ""
+	homeBudget = "budget"
+	homeNoTurn = "no_turn"
+	homeStore  = "store"
+)
+
+type homeReply struct {
+	Line    ledger.Line `msgpack:"l"`
+	Outcome string      `msgpack:"o,omitempty"`
+	Reason  string      `msgpack:"e,omitempty"`
+	// Reserved says that the turn's reservation may stand.
+	Reserved bool `msgpack:"r,omitempty"`
+}
+
+// Home is the ledger at another VM. It implements ledger.Home.
+type Home struct {
+	Manager *peer.Manager
+	Seat    fleet.Seat
+}
+
+// VM implements ledger.Home.
+func (h Home) VM() string { return h.Seat.VM }
+
+// Open implements ledger.Home.
+func (h Home) Open(ctx context.Context, o ledger.Opening) (ledger.Line, error) {
+	return h.call(ctx, peer.LedgerOpen, o)
+}
+
+// Record implements ledger.Home.
+func (h Home) Record(ctx context.Context, e ledger.Ended) error {
+	_, err := h.call(ctx, peer.LedgerRecord, e)
+	return err
+}
+
+// Settle implements ledger.Home.
+func (h Home) Settle(ctx context.Context, s ledger.Settlement) error {
+	_, err := h.call(ctx, peer.LedgerSettle, s)
+	return err
+}
+
+func (h Home) call(ctx context.Context, t peer.Type, question any) (ledger.Line, error) {
+	var reply homeReply
+	if err := call(ctx, h.Manager, h.Seat, t, question, &reply); err != nil {
+		return ledger.Line{}, err
+	}
+	switch reply.Outcome {
+	case homeDone:
+		return reply.Line, nil
+	case homeBudget:
+		return ledger.Line{}, ledger.ErrBudget
+	case homeNoTurn:
+		return ledger.Line{}, ledger.ErrNoTurn
+	}
+	return ledger.Line{}, &ledger.StoreError{Reason: reply.Reason, Reserved: reply.Reserved}
+}
+
+// keep makes a change of a group for another VM.
+func (s *Server) keep(ctx context.Context, m peer.Message) (peer.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, ledger.ServeTimeout)
+	defer cancel()
+	var line ledger.Line
+	var err error
+	switch m.Type {
+	case peer.LedgerOpen:
+		var o ledger.Opening
+		if err = peer.Decode(m.Payload, &o); err == nil {
+			line, err = s.Ledger.Open(ctx, o)
+		}
+	case peer.LedgerRecord:
+		var e ledger.Ended
+		if err = peer.Decode(m.Payload, &e); err == nil {
+			err = s.Ledger.Record(ctx, e)
+		}
+	default:
+		var x ledger.Settlement
+		if err = peer.Decode(m.Payload, &x); err == nil {
+			err = s.Ledger.Settle(ctx, x)
+		}
+	}
+	reply := homeReply{Line: line}
+	var e *ledger.Error
+	switch {
+	case err == nil:
+	case errors.Is(err, ledger.ErrBudget):
+		reply.Outcome = homeBudget
+	case errors.Is(err, ledger.ErrNoTurn):
+		reply.Outcome = homeNoTurn
+	case errors.As(err, &e):
+		reply.Outcome, reply.Reason, reply.Reserved = homeStore, err.Error(), e.Reserved
+	default:
+		return peer.Message{}, refusal.New(refusal.BadRequest, "%v", err)
+	}
+	payload, err := peer.Encode(reply)
+	return peer.Message{Type: peer.LedgerReply, Payload: payload}, err
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -56,7 +56,7 @@
 // request.
 type Server struct {
 	Loop     *fleet.Loop
-	Ledger   *ledger.Ledger
+	Ledger   *ledger.Homes
 	Replicas Replicas
 	// Store tells how the store is reached.
 	Store   *storepath.Path
@@ -113,7 +113,7 @@
 		why = x.dispatch()
 	}
 	if x.reserved {
-		x.Ledger.Settle(x.group, x.request.ID, x.tokens)
+		x.Ledger.Settle(ledger.Settlement{Group: x.group, Turn: x.request.ID, Used: x.tokens})
 	}
 	if why != nil && why.Run == refusal.NotRun && x.customer != nil {
 		// The rate counts requests that run.
@@ -158,21 +158,19 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, min(storeWait, time.Duration(storePart*float64(time.Until(x.deadline)))))
 	defer cancel()
-	if p.Parent != "" && x.route.KeepsHistory {
-		line, err := x.Ledger.Line(ctx, x.group, x.customer.Name, p.Parent)
-		if err != nil {
-			return x.ledgerRefusal(err)
-		}
-		x.line = line
+	opening := ledger.Opening{
+		Group: x.group, Customer: x.customer.Name, Turn: x.request.ID, Most: x.request.MaxTokens, Budget: p.Budget,
+	}
+	if x.route.KeepsHistory {
+		opening.Parent = p.Parent
 	}
-	err := x.Ledger.Reserve(ctx, ledger.Reservation{
-		Group: x.group, Customer: x.customer.Name, Turn: x.request.ID,
-		Most: x.request.MaxTokens, Budget: p.Budget, First: p.Parent == "",
-	})
-	x.reserved = !errors.Is(err, ledger.ErrBudget)
+	line, err := x.Ledger.Open(ctx, opening)
 	if err != nil {
+		var e *ledger.Error
+		x.reserved = errors.As(err, &e) && e.Reserved
 		return x.ledgerRefusal(err)
 	}
+	x.line, x.reserved = line, true
 	return nil
 }
 
