Let changes of several programs share a transaction

Cause: a turn makes two transactions. In a burst the grown sites begin 1,300 turns a second, which is above the store's 1,500 writing calls.

Change: accounts with waiting changes form one queue. A transaction takes as many as fit into 90 entries and 400 KB, over several parts where the store allows it; three are under way at a time, and their number a second stays within the VM's share of the store's rate, which comes from the platform's settings. Refusals for the rate slow the VM down.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -145,7 +145,9 @@
 		StoreDown: func() bool { return d.store.State() == storepath.Down },
 	})
 	server.Loop, server.Path = d.loop, d.store
-	d.ledger = ledger.New(running, d.store, int(turnCachePart*float64(s.MemoryBytes)))
+	d.ledger = ledger.New(running, d.store, ledger.Options{
+		CacheBytes: int(turnCachePart * float64(s.MemoryBytes)), CrossPart: s.StoreCrossPart, Rate: d.storeShare,
+	})
 	server.Ledger = d.ledger
 	instruments, metrics, err := d.newMetrics()
 	if err != nil {
@@ -204,6 +206,11 @@
 	return out
 }
 
+// storeShare returns this VM's share of the store's writing calls a second.
+func (d *fleetDaemon) storeShare() float64 {
+	return float64(d.settings.StoreWrites) / float64(max(1, len(d.loop.Snapshot().Seats)))
+}
+
 // home returns the VM that makes the changes of a group; false if it is this one.
 // All VMs with the same list choose the same.
 func (d *fleetDaemon) home(g turntree.Group, passedOver func(vm string) bool) (ledger.Home, bool) {
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -6,7 +6,6 @@
 	"maps"
 	"time"
 
-	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
@@ -15,14 +14,17 @@
 // it. One transaction for an account is under way at a time; it carries all changes
 // that came meanwhile.
 type account struct {
+	group    turntree.Group
 	value    turntree.Account
 	revision uint64
 	known    bool // value is what the store held at revision
 	queue    []*change
-	busy     bool
+	busy     bool // waits for a transaction or is in one
 	used     time.Time
 	// expires is when the group's turns need not be kept any longer.
 	expires time.Time
+	// pause is the wait before the next transaction after a failure.
+	pause time.Duration
 }
 
 // change is one change of an account.
@@ -30,13 +32,23 @@
 	op, turn  string
 	reserves  bool
 	retention time.Duration
-	// apply changes the account and returns further rows of the transaction. It may
-	// be called more than once, and must not change anything if it fails.
-	apply func(a *turntree.Account) ([]platform.Write, error)
+	// apply changes the account. It may be called more than once, and must not change
+	// anything if it fails. rows are further rows of the transaction.
+	apply func(a *turntree.Account) error
+	rows  []platform.Write
 	ctx   context.Context
 	done  chan error
 }
 
+// bytes returns the size of the change's rows.
+func (c *change) bytes() int {
+	n := accountBytes
+	for _, r := range c.rows {
+		n += len(r.Value)
+	}
+	return n
+}
+
 // change commits c to the account of a group. With fresh, the account is taken as
 // absent if nothing is known of it, which saves a read for a new program.
 func (l *Ledger) change(ctx context.Context, g turntree.Group, fresh bool, c *change) error {
@@ -47,12 +59,10 @@
 		a.known = true
 	}
 	a.queue = append(a.queue, c)
-	start := !a.busy
-	a.busy = true
-	l.mu.Unlock()
-	if start {
-		l.wait.Go(func() { l.flush(g, a) })
+	if !a.busy {
+		l.enqueue(a)
 	}
+	l.mu.Unlock()
 	var err error
 	select {
 	case err = <-c.done:
@@ -69,135 +79,37 @@
 func (l *Ledger) account(g turntree.Group) *account {
 	a := l.accounts[g]
 	if a == nil {
-		a = &account{}
+		a = &account{group: g, pause: retryPause}
 		l.accounts[g] = a
 	}
 	a.used = l.now()
 	return a
 }
 
-// flush commits the waiting changes of an account until none is left.
-func (l *Ledger) flush(g turntree.Group, a *account) {
-	var batch []*change
-	wait := retryPause
-	for {
-		l.mu.Lock()
-		batch = waiting(append(batch, a.queue...))
-		a.queue = nil
-		if len(batch) == 0 {
-			a.busy = false
-			l.mu.Unlock()
-			return
-		}
-		l.mu.Unlock()
-		left, err := l.commit(g, a, batch)
-		batch = left
-		if err == nil {
-			wait = retryPause
-			continue
-		}
-		if !clock.Sleep(l.ctx, clock.Jitter(wait)) {
-			batch = finish(batch, err)
-		}
-		wait = min(2*wait, maxRetryPause)
-	}
-}
-
-// waiting returns the changes whose callers still wait.
-func waiting(batch []*change) []*change {
-	kept := batch[:0]
-	for _, c := range batch {
-		if c.ctx.Err() == nil {
-			kept = append(kept, c)
-		}
-	}
-	return kept
-}
-
-// commit tries one transaction with all changes of the batch and returns those
-// that have to be tried again.
-func (l *Ledger) commit(g turntree.Group, a *account, batch []*change) ([]*change, error) {
-	verified := false
-	if !a.known {
-		if err := l.read(g, a); err != nil {
-			return batch, err
-		}
-		verified = true
-	}
-	value, applied, rejected, writes := applyAll(a.value, batch)
-	if len(rejected) > 0 && !verified {
-		// Another VM may have settled turns since the copy was made.
-		a.known = false
-		return batch, nil
-	}
-	for c, err := range rejected {
-		c.done <- err
-	}
-	if len(applied) == 0 {
-		return nil, nil
-	}
-	data, err := turntree.Encode(value)
-	if err != nil {
-		return finish(applied, err), nil
-	}
-	key := platform.Key{Table: programTable, Key: string(g)}
-	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-	defer cancel()
-	result, err := l.store.Transact(ctx, platform.PartedTx{Part: g.Part(), Tx: platform.Tx{
-		Conditions: []platform.Condition{{Key: key, Revision: a.revision}},
-		Writes:     append(writes, platform.Write{Key: key, Value: data}),
-	}})
-	l.count(func(c *Counters) { c.Transactions++ })
-	if err != nil {
-		l.count(func(c *Counters) { c.Retries++ })
-		var pe *platform.Error
-		if !errors.As(err, &pe) || !pe.Kind.DidNothing() {
-			// The transaction may have been applied or may still be. Reading the row
-			// shows the former; the next write makes its condition fail.
-			a.known = false
-		}
-		return applied, err
-	}
-	if !result.Committed {
-		l.count(func(c *Counters) { c.Conflicts++ })
-		return applied, l.adopt(g, a, result.Current)
-	}
-	a.value, a.revision = value, result.Revision
-	for _, c := range applied {
-		a.expires = clock.Later(a.expires, l.now().Add(c.retention))
-	}
-	return finish(applied, nil), nil
-}
-
 // applyAll applies the changes to a copy of the account. It returns the changes
 // that the account takes and the errors of the others.
-func applyAll(from turntree.Account, batch []*change) (turntree.Account, []*change, map[*change]error, []platform.Write) {
+func applyAll(from turntree.Account, changes []*change) (turntree.Account, []*change, map[*change]error) {
 	value := from
 	value.Reserved = maps.Clone(from.Reserved)
 	var applied []*change
-	var writes []platform.Write
 	rejected := map[*change]error{}
-	for _, c := range batch {
-		more, err := c.apply(&value)
-		if err != nil {
+	for _, c := range changes {
+		if err := c.apply(&value); err != nil {
 			rejected[c] = err
 			continue
 		}
 		applied = append(applied, c)
-		writes = append(writes, more...)
 	}
-	return value, applied, rejected, writes
+	return value, applied, rejected
 }
 
-func finish(batch []*change, err error) []*change {
-	for _, c := range batch {
-		c.done <- err
-	}
-	return nil
+func accountKey(g turntree.Group) platform.Key {
+	return platform.Key{Table: programTable, Key: string(g)}
 }
 
 // read takes the account from the store.
-func (l *Ledger) read(g turntree.Group, a *account) error {
+func (l *Ledger) read(a *account) error {
+	g := a.group
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
 	l.count(func(c *Counters) { c.Reads++ })
@@ -207,15 +119,15 @@
 	if err != nil {
 		return err
 	}
-	return l.adopt(g, a, page.Rows)
+	return l.adopt(a, page.Rows)
 }
 
 // adopt takes the account from rows that the store returned; without its row the
 // account is that of a new program.
-func (l *Ledger) adopt(g turntree.Group, a *account, rows []platform.Row) error {
+func (l *Ledger) adopt(a *account, rows []platform.Row) error {
 	a.value, a.revision, a.known = turntree.Account{}, 0, true
 	for _, r := range rows {
-		if r.Table != programTable || r.Key.Key != string(g) {
+		if r.Key != accountKey(a.group) {
 			continue
 		}
 		value, err := turntree.DecodeAccount(r.Value)
@@ -263,7 +175,7 @@
 	if err != nil || len(page.Rows) == 0 {
 		return
 	}
-	key := platform.Key{Table: programTable, Key: string(g)}
+	key := accountKey(g)
 	tx := platform.Tx{Conditions: []platform.Condition{{Key: key, Revision: revision}}}
 	for _, r := range page.Rows {
 		tx.Writes = append(tx.Writes, platform.Write{Key: r.Key, Delete: true})
@@ -274,5 +186,5 @@
 	tx.Writes = tx.Writes[:min(len(tx.Writes), maxWrites)]
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, _ = l.store.Transact(callCtx, platform.PartedTx{Part: g.Part(), Tx: tx})
+	_, _ = l.store.Transact(callCtx, platform.PartedTx{{Part: g.Part(), Tx: tx}})
 }
--- /dev/null
+++ b/internal/process/ledger/commit_test.go
@@ -0,0 +1,144 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/platform/connection"
+	"hornbeamvale.example/hornbeamvale/platform/platformtest"
+)
+
+// watched is a store that keeps the transactions and may refuse them.
+type watched struct {
+	platform.PartedStore
+	refuse       atomic.Bool
+	mu           sync.Mutex
+	transactions []platform.PartedTx
+}
+
+func (w *watched) Transact(ctx context.Context, tx platform.PartedTx) (platform.PartedResult, error) {
+	w.mu.Lock()
+	w.transactions = append(w.transactions, tx)
+	w.mu.Unlock()
+	if w.refuse.Load() {
+		return platform.PartedResult{}, &platform.Error{Kind: platform.Overloaded, Op: "transact", Err: errors.New("status 429")}
+	}
+	return w.PartedStore.Transact(ctx, tx)
+}
+
+func (w *watched) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.transactions)
+}
+
+// openAll opens the first turn of n programs at once.
+func openAll(t *testing.T, l *ledger.Ledger, n int, within time.Duration) (failed int64) {
+	var wait sync.WaitGroup
+	var failures atomic.Int64
+	for i := range n {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), within)
+			defer cancel()
+			_, err := l.Open(ctx, ledger.Opening{
+				Group: group(fmt.Sprint("p", i)), Customer: customer, Turn: fmt.Sprint("t", i), Most: 10, Budget: 100,
+			})
+			if err != nil {
+				failures.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return failures.Load()
+}
+
+// TestChangesShareTransactions guards against a transaction for each change, which
+// passes the store's rate in a busy second.
+func TestChangesShareTransactions(t *testing.T) {
+	for _, crossPart := range []bool{true, false} {
+		store := &watched{PartedStore: connection.NewStore(platformtest.NewStore(t).Address())}
+		o := options
+		o.CrossPart, o.Rate = crossPart, func() float64 { return 20 }
+		require.Zero(t, openAll(t, ledger.New(t.Context(), store, o), 80, 5*time.Second))
+		for _, tx := range store.transactions {
+			for _, part := range tx {
+				require.True(t, crossPart || part.Part == tx[0].Part, "the store takes one part only")
+			}
+		}
+		most := 10
+		if !crossPart {
+			most += len(turntree.Parts())
+		}
+		require.LessOrEqual(t, store.count(), most)
+	}
+}
+
+// TestLargeChangesDoNotShare guards against a transaction that is larger than the
+// store takes.
+func TestLargeChangesDoNotShare(t *testing.T) {
+	store := &watched{PartedStore: connection.NewStore(platformtest.NewStore(t).Address())}
+	o := options
+	o.Rate = func() float64 { return 10 }
+	l := ledger.New(t.Context(), store, o)
+	text := []byte(strings.Repeat("x", 150_000))
+	var wait sync.WaitGroup
+	for i := range 12 {
+		wait.Go(func() {
+			require.NoError(t, l.Record(t.Context(), ledger.Ended{
+				Group: group(fmt.Sprint("p", i)), ID: fmt.Sprint("t", i), Turn: turntree.Turn{Customer: customer, Input: text},
+			}))
+		})
+	}
+	wait.Wait()
+	for _, tx := range store.transactions {
+		entries, bytes := 0, 0
+		for _, part := range tx {
+			entries += len(part.Conditions) + len(part.Writes)
+			for _, w := range part.Writes {
+				bytes += len(w.Value)
+			}
+		}
+		require.LessOrEqual(t, entries, 100)
+		require.LessOrEqual(t, bytes*4/3, 1_000_000)
+	}
+}
+
+// TestConflictOfOneProgram guards against a program whose account another VM has
+// changed and that keeps those from going on that share its transaction.
+func TestConflictOfOneProgram(t *testing.T) {
+	store := platformtest.NewStore(t)
+	o := options
+	o.Rate = func() float64 { return 20 }
+	a := ledger.New(t.Context(), connection.NewStore(store.Address()), o)
+	for i := range 4 {
+		take(t, a, fmt.Sprint("p", i), "", fmt.Sprint("a", i), "x")
+		take(t, vm(t, store), fmt.Sprint("p", i), fmt.Sprint("a", i), fmt.Sprint("b", i), "y")
+	}
+	require.Zero(t, openAll(t, a, 12, 5*time.Second))
+	require.Positive(t, a.Counters().Conflicts)
+}
+
+// TestRefusalsSlowTheVMDown guards against a VM that keeps the store over its rate
+// by trying again.
+func TestRefusalsSlowTheVMDown(t *testing.T) {
+	store := &watched{PartedStore: connection.NewStore(platformtest.NewStore(t).Address())}
+	store.refuse.Store(true)
+	o := options
+	o.Rate = func() float64 { return 200 }
+	l := ledger.New(t.Context(), store, o)
+	require.EqualValues(t, 50, openAll(t, l, 50, time.Second))
+	require.LessOrEqual(t, store.count(), 40, "of 170 that the share allows in that time")
+	store.refuse.Store(false)
+	require.Zero(t, openAll(t, l, 50, 5*time.Second))
+}
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -80,17 +80,32 @@
 	now   func() time.Time
 	ctx   context.Context
 
+	options Options
+
 	mu       sync.Mutex
+	commits  committer
 	accounts map[turntree.Group]*account
 	turns    *turnCache
 	counters Counters
 	wait     sync.WaitGroup
 }
 
-// New returns a ledger that works until ctx ends and keeps up to cacheBytes of
-// turns in memory.
-func New(ctx context.Context, store platform.PartedStore, cacheBytes int) *Ledger {
-	return &Ledger{store: store, now: time.Now, ctx: ctx, accounts: map[turntree.Group]*account{}, turns: newTurnCache(cacheBytes)}
+// Options set up a ledger.
+type Options struct {
+	// CacheBytes bounds the turns in memory.
+	CacheBytes int
+	// CrossPart says that the store takes transactions over several parts.
+	CrossPart bool
+	// Rate returns how many transactions a second this VM may make; 0 means no bound.
+	Rate func() float64
+}
+
+// New returns a ledger that works until ctx ends.
+func New(ctx context.Context, store platform.PartedStore, o Options) *Ledger {
+	return &Ledger{
+		store: store, now: time.Now, ctx: ctx, options: o, commits: newCommitter(),
+		accounts: map[turntree.Group]*account{}, turns: newTurnCache(o.CacheBytes),
+	}
 }
 
 // Counters returns what the ledger has done so far.
@@ -128,12 +143,12 @@
 	}
 	err := l.change(ctx, o.Group, o.Parent == "", &change{
 		op: "reserve", turn: o.Turn, reserves: true,
-		apply: func(a *turntree.Account) ([]platform.Write, error) {
-			a.Customer = o.Customer
+		apply: func(a *turntree.Account) error {
 			if !a.Reserve(o.Turn, o.Most, o.Budget) {
-				return nil, ErrBudget
+				return ErrBudget
 			}
-			return nil, nil
+			a.Customer = o.Customer
+			return nil
 		},
 	})
 	return line, err
@@ -150,9 +165,9 @@
 func (l *Ledger) Settle(ctx context.Context, s Settlement) error {
 	return l.change(ctx, s.Group, false, &change{
 		op: "settle", turn: s.Turn,
-		apply: func(a *turntree.Account) ([]platform.Write, error) {
+		apply: func(a *turntree.Account) error {
 			a.Settle(s.Turn, s.Used)
-			return nil, nil
+			return nil
 		},
 	})
 }
@@ -173,15 +188,15 @@
 // Record makes an ended turn durable together with its settlement. The answer must
 // not end before it has returned without an error.
 func (l *Ledger) Record(ctx context.Context, e Ended) error {
-	writes, err := turnWrites(e)
+	rows, err := turnWrites(e)
 	if err != nil {
 		return &Error{Op: "record", Turn: e.ID, Err: err}
 	}
 	err = l.change(ctx, e.Group, false, &change{
-		op: "record", turn: e.ID, retention: e.Retention,
-		apply: func(a *turntree.Account) ([]platform.Write, error) {
+		op: "record", turn: e.ID, retention: e.Retention, rows: rows,
+		apply: func(a *turntree.Account) error {
 			a.Settle(e.ID, e.Used)
-			return writes, nil
+			return nil
 		},
 	})
 	if err == nil {
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -19,16 +19,15 @@
 	"hornbeamvale.example/hornbeamvale/platform/platformtest"
 )
 
-const (
-	customer = "parish"
-	cache    = 1 << 20
-)
+const customer = "parish"
+
+var options = ledger.Options{CacheBytes: 1 << 20, CrossPart: true, Rate: func() float64 { return 0 }}
 
 // vm returns the ledger of one more VM on the store.
 func vm(t *testing.T, s *platformtest.Store) *ledger.Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	return ledger.New(ctx, connection.NewStore(s.Address()), cache)
+	return ledger.New(ctx, connection.NewStore(s.Address()), options)
 }
 
 func group(program string) turntree.Group { return turntree.GroupOf(customer, program) }
@@ -195,7 +194,7 @@
 	store := platformtest.NewStore(t)
 	direct := connection.NewStore(store.Address())
 	f := &failing{PartedStore: direct}
-	l := ledger.New(t.Context(), f, cache)
+	l := ledger.New(t.Context(), f, options)
 	r := ledger.Opening{Group: group("p"), Customer: customer, Turn: "1", Most: 60, Budget: 100}
 	require.NoError(t, reserve(t, l, r))
 	result, err := direct.Transact(t.Context(), *f.hold.Load())
--- a/internal/process/ledger/line.go
+++ b/internal/process/ledger/line.go
@@ -194,7 +194,7 @@
 		l.turns.add(KeptTurn{ID: id, Group: g, Turn: t})
 	}
 	if a := l.account(g); !a.busy && !a.known {
-		return l.adopt(g, a, page.Rows)
+		return l.adopt(a, page.Rows)
 	}
 	return nil
 }
--- a/internal/process/settings/fleet.go
+++ b/internal/process/settings/fleet.go
@@ -16,6 +16,11 @@
 	Callers, Ready, Peers, Metrics netip.AddrPort
 	// Store is the address of the platform's store.
 	Store netip.AddrPort
+	// StoreWrites is the number of writing calls a second that the store takes from all
+	// VMs together; 0 means no bound.
+	StoreWrites int
+	// StoreCrossPart says that the store takes transactions over several parts.
+	StoreCrossPart bool
 	// MemoryBytes is the memory above which the process is killed.
 	MemoryBytes int64
 	// StopWithin is the time from the stop signal to the kill.
@@ -40,5 +45,6 @@
 	add(f.DataCentre != "", "the VM has no data centre")
 	add(f.MemoryBytes >= minMemoryBytes, "memory of %d bytes is below %d", f.MemoryBytes, minMemoryBytes)
 	add(f.StopWithin >= minStopWithin, "stop within %v is below %v", f.StopWithin, minStopWithin)
+	add(f.StoreWrites >= 0, "%d writing calls a second is below 0", f.StoreWrites)
 	return errors.Join(faults...)
 }
