--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -42,7 +42,7 @@
 }
 
 // Error implements error.
-func (e *StoreError) Error() string { return e.Reason }
+func (e *StoreError) Error() string { return "the store failed at the home: " + e.Reason }
 
 // Homes lets one VM, the home of a group, make all changes of the group. It then
 // has the account and the turns in memory, and no two VMs write the same account.
