Ask a home that is gone less often and forget its seat earlier

Change: a home that stays silent is passed over for 2, 4 and then 8 s; the row of a silent seat is deleted 15 s after its last change.

Both tests fail without their part of the change.

--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
 	"hornbeamvale.example/hornbeamvale/operator"
@@ -31,16 +32,33 @@
 	return replica.Candidate{}, false
 }
 
+// deletions is a store that keeps the keys of deleted rows.
+type deletions struct {
+	platform.PartedStore
+	keys chan string
+}
+
+func (d deletions) Transact(_ context.Context, tx platform.PartedTx) (platform.PartedResult, error) {
+	for _, w := range tx.Writes {
+		if w.Delete {
+			d.keys <- w.Key.Key
+		}
+	}
+	return platform.PartedResult{Committed: true}, nil
+}
+
 // fixture is the control state of one VM; the test applies events to it.
 type fixture struct {
 	*State
-	down bool
+	down    bool
+	deleted chan string
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{}
+	f := &fixture{deleted: make(chan string, 100)}
 	l := NewLoop(Config{
-		Self: seat(0), Picker: firstPicker{}, Peers: noPeers{},
+		Store: deletions{keys: f.deleted},
+		Self:  seat(0), Picker: firstPicker{}, Peers: noPeers{},
 		StoreDown: func() bool { return f.down }, Log: decisionlog.New(func(string, ...any) {}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -273,3 +291,24 @@
 	f.Step(now.Add(joinWait))
 	require.Positive(t, f.rates["parish"].bucket.Rate())
 }
+
+// TestRowOfASilentSeatIsDeleted guards against a VM that is gone for good and counts
+// again for 10 s at each VM that starts, as a holder of rates and as a home.
+func TestRowOfASilentSeatIsDeleted(t *testing.T) {
+	f := newFixture(t)
+	for s := time.Duration(0); s <= 18*time.Second; s += seatPoll {
+		now := start.Add(s)
+		read(3, 1, uint64(s)+2, now).Apply(f.State, now)
+		f.Step(now)
+		if s < seatTTL {
+			require.Equal(t, 3, f.seats.count())
+		}
+	}
+	require.Equal(t, 2, f.seats.count())
+	select {
+	case key := <-f.deleted:
+		require.Equal(t, seat(2).Address, key)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the row stays")
+	}
+}
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -25,8 +25,9 @@
 	seatPoll = 2500 * time.Millisecond
 	seatUse  = 8 * time.Second
 	seatTTL  = 10 * time.Second
-	// seatRemoval is when the row of a silent seat is deleted.
-	seatRemoval = time.Minute
+	// seatRemoval is when the row of a silent seat is deleted. Processes that start
+	// later then do not count it for another seatTTL.
+	seatRemoval = seatTTL + 5*time.Second
 	// joinWait is how long a new seat, or a part of a rate that moved to this VM, is
 	// not used: by then every VM that can reach the store has read the change.
 	joinWait = seatPoll + time.Second
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -18,9 +18,11 @@
 	homeTimeout  = 400 * time.Millisecond
 	// homeTries bounds the calls at homes before this VM does the work itself.
 	homeTries = 2
-	// homeMemory is how long a home that did not answer is passed over. A frozen or
-	// cut VM then costs one wait in that time.
-	homeMemory = 2 * time.Second
+	// homeMemory is how long a home that did not answer is passed over, and twice as
+	// long after each further time, up to homeMemoryMost, until it answers. A frozen VM
+	// costs one wait in 2 s, one that is gone few until its seat is dropped after 10 s.
+	homeMemory     = 2 * time.Second
+	homeMemoryMost = 8 * time.Second
 	// homePause is the wait before a home whose call of the store failed is asked
 	// again, about ten times a call's usual time.
 	homePause = 40 * time.Millisecond
@@ -56,12 +58,18 @@
 	choose func(g turntree.Group, passedOver func(vm string) bool) (Home, bool)
 
 	mu     sync.Mutex
-	silent map[string]time.Time // by VM, when it did not answer
+	silent map[string]silence // by VM
+}
+
+// silence is a home that has not answered since its last answer.
+type silence struct {
+	until  time.Time // when it is asked again
+	memory time.Duration
 }
 
 // NewHomes returns homes over this VM's ledger.
 func NewHomes(local *Ledger, log *decisionlog.Log, choose func(turntree.Group, func(vm string) bool) (Home, bool)) *Homes {
-	return &Homes{local: local, log: log, choose: choose, silent: map[string]time.Time{}}
+	return &Homes{local: local, log: log, choose: choose, silent: map[string]silence{}}
 }
 
 // Open is Ledger.Open at the group's home.
@@ -134,18 +142,18 @@
 		var atStore *StoreError
 		switch {
 		case err == nil, errors.Is(err, ErrBudget), errors.Is(err, ErrNoTurn):
+			h.answered(home.VM())
 			return wrap(turn, err)
 		case ctx.Err() != nil:
 			return wrap(turn, err)
 		case errors.As(err, &atStore):
+			h.answered(home.VM())
 			if !clock.Sleep(ctx, clock.Jitter(homePause)) {
 				return wrap(turn, err)
 			}
 		default:
 			h.log.Request("Home did not answer", "id", turn, "group", g, "home", home.VM(), "err", err)
-			h.mu.Lock()
-			h.silent[home.VM()] = time.Now()
-			h.mu.Unlock()
+			h.notAnswered(home.VM())
 		}
 	}
 	h.local.count(func(c *Counters) { c.Homeless++ })
@@ -162,6 +170,24 @@
 func (h *Homes) passedOver(vm string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	at, ok := h.silent[vm]
-	return ok && time.Since(at) < homeMemory
+	return time.Now().Before(h.silent[vm].until)
+}
+
+func (h *Homes) answered(vm string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.silent, vm)
+}
+
+// notAnswered notes a silent home. Calls that were under way together count once.
+func (h *Homes) notAnswered(vm string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, s := time.Now(), h.silent[vm]
+	if now.Before(s.until) {
+		return
+	}
+	s.memory = min(max(homeMemory, 2*s.memory), homeMemoryMost)
+	s.until = now.Add(s.memory)
+	h.silent[vm] = s
 }
--- a/internal/process/ledger/homes_test.go
+++ b/internal/process/ledger/homes_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/platform/platformtest"
 )
@@ -158,3 +160,31 @@
 	require.ErrorAs(t, err, &e)
 	require.True(t, e.Reserved)
 }
+
+// TestHomeThatIsGone guards against a wait of 400 ms every 2 s for a VM that does not
+// come back: its seat is dropped only after 10 s, and counts anew at each restart.
+func TestHomeThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone := &remoteHome{vm: "gone"}
+		gone.silent.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		l := ledger.New(ctx, noStore{}, options)
+		h := ledger.NewHomes(l, decisionlog.New(nil), func(_ turntree.Group, passedOver func(string) bool) (ledger.Home, bool) {
+			return gone, !passedOver("gone")
+		})
+		for range 120 {
+			_, err := h.Open(ctx, ledger.Opening{Group: group("p"), Customer: customer, Turn: "1", Most: 1})
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.EqualValues(t, 3, gone.calls.Load(), "at 0, 2.4 and 6.8 s")
+		cancel()
+	})
+}
+
+// noStore takes every transaction.
+type noStore struct{ platform.PartedStore }
+
+func (noStore) Transact(context.Context, platform.PartedTx) (platform.PartedResult, error) {
+	return platform.PartedResult{Committed: true, Revision: 1}, nil
+}
