--- a/internal/process/fleet/watch_test.go
+++ b/internal/process/fleet/watch_test.go
@@ -14,10 +14,7 @@
 )
 
 // busyTable is a store whose table changes every 50 ms.
-type busyTable struct {
-	calls   int
-	changed time.Time
-}
+type busyTable struct{ calls int }
 
 func (b *busyTable) Transact(context.Context, platform.PartedTx) (platform.PartedResult, error) {
 	return platform.PartedResult{}, errors.New("not used")
