Remove what the store-based mode wrote again or never read

Found on reading the whole change again; behaviour stays as it is.

- Line and inMemory share one walk; a turn is looked up in memory in one place.
- Homes.Record kept a turn twice when this VM is the home.
- HomeOf built the list of parts several times for each change of a turn, and a batch formatted the part of each waiting account: both use numbers now.
- Registry and View share the begin and end of a call (replica.traffic).
- Both metrics pages share newMeter; both shutdowns wait by clock.Sleep.
- The time of the last failed call of the store needs no struct of its own.
- Never read: the customer in an account's row, the data centre and the count of renewals in a seat's row.
A seat's silence is told by its row's revision.

--- a/cmd/hornbeamvaled/daemon.go
+++ b/cmd/hornbeamvaled/daemon.go
@@ -21,6 +21,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
 	"hornbeamvale.example/hornbeamvale/internal/connection/tlsconfig"
 	"hornbeamvale.example/hornbeamvale/internal/process/bodies"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/control"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/member"
@@ -179,12 +180,7 @@
 	if d.loop.Post(limit, control.PrepareStop{}) != nil {
 		return
 	}
-	drain := time.NewTimer(d.settings.Shutdown.DrainDelay)
-	defer drain.Stop()
-	select {
-	case <-drain.C:
-	case <-limit.Done():
-	}
+	clock.Sleep(limit, d.settings.Shutdown.DrainDelay)
 	if err := d.callers.Shutdown(limit); err != nil {
 		klog.ErrorS(err, "Requests were still running at the drain limit")
 	}
--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
@@ -137,7 +138,7 @@
 		log.Request("Way to the store changed", "state", state)
 	})
 	d.loop = fleet.NewLoop(fleet.Config{
-		Self:  fleet.Seat{VM: s.VM, Address: s.Peers.String(), DataCentre: s.DataCentre},
+		Self:  fleet.Seat{VM: s.VM, Address: s.Peers.String()},
 		Store: d.store, Sources: platformversion.Sources(), Log: log,
 		Picker:    placement.FleetPicker{Profile: placement.FleetProfile(), DataCentre: s.DataCentre},
 		Peers:     &fleetrpc.Remote{Manager: d.peers},
@@ -247,9 +248,7 @@
 		return
 	}
 	<-done
-	timer := time.NewTimer(time.Duration(drainPart * within))
-	defer timer.Stop()
-	<-timer.C
+	clock.Sleep(limit, time.Duration(drainPart*within))
 	if err := d.callers.Shutdown(limit); err != nil {
 		klog.ErrorS(err, "Requests were still running when the time to stop was over")
 	}
--- a/cmd/hornbeamvaled/fleetmetrics.go
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -4,11 +4,8 @@
 	"context"
 	"net/http"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
 	"hornbeamvale.example/hornbeamvale/internal/request/relay"
 )
@@ -16,12 +13,10 @@
 // newMetrics registers the process's instruments and returns those of requests and
 // the page.
 func (d *fleetDaemon) newMetrics() (*relay.Metrics, http.Handler, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	meter, registry, err := newMeter()
 	if err != nil {
 		return nil, nil, err
 	}
-	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("hornbeamvale")
 	requests, err := relay.NewMetrics(meter)
 	if err != nil {
 		return nil, nil, err
--- a/cmd/hornbeamvaled/metrics.go
+++ b/cmd/hornbeamvaled/metrics.go
@@ -18,13 +18,11 @@
 
 // newMetrics registers the process's instruments and returns their page.
 func newMetrics(d *daemon) (http.Handler, error) {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	meter, registry, err := newMeter()
 	if err != nil {
 		return nil, err
 	}
-	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("hornbeamvale")
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m := &observer{meter: meter}
 	cpu := m.seconds("hornbeamvale_control_cpu", "CPU time of the control thread")
 	events := m.count("hornbeamvale_control_events", "Events applied by the control loop")
@@ -75,6 +73,16 @@
 	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
 }
 
+// newMeter returns a meter and the registry that its instruments are read from.
+func newMeter() (metric.Meter, *prometheus.Registry, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, nil, err
+	}
+	return sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("hornbeamvale"), registry, nil
+}
+
 // observer creates instruments and keeps the first error.
 type observer struct {
 	meter metric.Meter
--- a/internal/process/configuration/store.go
+++ b/internal/process/configuration/store.go
@@ -322,8 +322,7 @@
 
 func putOnce(ctx context.Context, c platform.Client, key string, body []byte) error {
 	err := c.PutObject(ctx, key, body)
-	var pe *platform.Error
-	if errors.As(err, &pe) && pe.Kind == platform.Exists {
+	if platform.KindOf(err) == platform.Exists {
 		return nil
 	}
 	return err
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -61,7 +61,7 @@
 	*eventloop.Loop[*State]
 	config   Config
 	snapshot atomic.Pointer[Snapshot]
-	stored   atomic.Pointer[storeHealth]
+	failedAt atomic.Pointer[time.Time] // when a call of the store failed last; nil if none did
 	ctx      context.Context
 	jobs     sync.WaitGroup
 }
@@ -105,7 +105,6 @@
 // NewLoop returns the control loop of a VM.
 func NewLoop(c Config) *Loop {
 	l := &Loop{config: c, ctx: context.Background()}
-	l.stored.Store(&storeHealth{})
 	l.Loop = eventloop.New(newState(c, l))
 	l.snapshot.Store(&Snapshot{})
 	return l
--- a/internal/process/fleet/home.go
+++ b/internal/process/fleet/home.go
@@ -15,7 +15,7 @@
 // that more of a VM's changes are of one part and share a transaction.
 func HomeOf(seats []Seat, g turntree.Group, passedOver func(vm string) bool) (Seat, bool) {
 	divisions := 1
-	for divisions < len(turntree.Parts()) && len(seats) >= 2*divisions*homesPerDivision {
+	for divisions < turntree.PartCount && len(seats) >= 2*divisions*homesPerDivision {
 		divisions *= 2
 	}
 	var best Seat
--- a/internal/process/fleet/seats.go
+++ b/internal/process/fleet/seats.go
@@ -40,10 +40,7 @@
 	VM string `msgpack:"vm"`
 	// Address is where it listens for other VMs, IP:port. It identifies the seat: a
 	// process that starts again on the same VM takes its seat over.
-	Address    string `msgpack:"a"`
-	DataCentre string `msgpack:"d"`
-	// Renewal counts the writes of this process.
-	Renewal uint64 `msgpack:"n"`
+	Address string `msgpack:"a"`
 }
 
 // seatView is what a VM knows of the seats.
@@ -136,12 +133,10 @@
 
 // keepSeat writes the own seat and reads those of the others until ctx ends.
 func (l *Loop) keepSeat(ctx context.Context) {
-	self := l.config.Self
 	heldBefore, ok := l.heldBefore(ctx)
 	for ok && ctx.Err() == nil {
-		self.Renewal++
 		renewed := time.Now()
-		err := l.writeSeat(ctx, self)
+		err := l.writeSeat(ctx, l.config.Self)
 		l.note("seat", err)
 		if err != nil {
 			clock.Sleep(ctx, watchPause)
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
@@ -35,25 +34,22 @@
 	listingGrace = 1800 * time.Millisecond
 )
 
-// storeHealth is what the watchers know of the store.
-type storeHealth struct{ failedAt time.Time }
-
 // note keeps the time of a failed call and logs a change of state.
 func (l *Loop) note(what string, err error) {
-	before := l.stored.Load().failedAt
-	now := time.Now()
-	if err != nil {
-		l.stored.Store(&storeHealth{failedAt: now})
+	if err == nil {
+		return
 	}
-	if err != nil && now.Sub(before) > outageMemory {
+	if !l.doubtful() {
 		l.config.Log.State("Store call failed", "call", what, "err", err)
 	}
+	now := time.Now()
+	l.failedAt.Store(&now)
 }
 
 // doubtful says that a call of the store failed a short time ago.
 func (l *Loop) doubtful() bool {
-	failed := l.stored.Load().failedAt
-	return !failed.IsZero() && time.Since(failed) < outageMemory
+	failed := l.failedAt.Load()
+	return failed != nil && time.Since(*failed) < outageMemory
 }
 
 // watcher follows one table: a whole read, then its changes.
@@ -77,9 +73,8 @@
 	for ctx.Err() == nil {
 		page, err := w.read(ctx, after, read)
 		w.note(w.name, err)
-		var pe *platform.Error
 		switch {
-		case errors.As(err, &pe) && pe.Kind == platform.HistoryGone:
+		case platform.KindOf(err) == platform.HistoryGone:
 			read = false
 		case err != nil:
 			clock.Sleep(ctx, watchPause)
--- a/internal/process/journal/writer.go
+++ b/internal/process/journal/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/member"
@@ -30,8 +29,7 @@
 func Write(ctx context.Context, c platform.Client, b *Batch) Outcome {
 	if len(b.Body) > 0 {
 		err := c.PutObject(ctx, b.Object, b.Body)
-		var pe *platform.Error
-		if err != nil && (!errors.As(err, &pe) || pe.Kind != platform.Exists) {
+		if err != nil && platform.KindOf(err) != platform.Exists {
 			return Outcome{Err: err}
 		}
 	}
--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 
 	"golang.org/x/time/rate"
@@ -108,7 +107,7 @@
 // whose callers are gone are left out. The caller holds the lock.
 func (l *Ledger) takeBatch() []work {
 	var batch []work
-	entries, bytes, full := 0, 0, false
+	part, entries, bytes, full := 0, 0, 0, false
 	rest := l.commits.ready[:0]
 	for _, a := range l.commits.ready {
 		a.queue = waiting(a.queue)
@@ -116,7 +115,7 @@
 		case len(a.queue) == 0:
 			a.busy = false
 			continue
-		case full, len(batch) > 0 && a.group.Part() != batch[0].account.group.Part():
+		case full, len(batch) > 0 && a.group.PartNumber() != part:
 			rest = append(rest, a)
 			continue
 		}
@@ -136,6 +135,7 @@
 			continue
 		}
 		a.queue = append([]*change(nil), a.queue[len(w.changes):]...)
+		part = a.group.PartNumber()
 		batch = append(batch, w)
 	}
 	clear(l.commits.ready[len(rest):])
@@ -173,8 +173,7 @@
 	for _, w := range batch {
 		switch {
 		case err != nil:
-			var pe *platform.Error
-			if !errors.As(err, &pe) || !pe.Kind.DidNothing() {
+			if !platform.KindOf(err).DidNothing() {
 				// The transaction may have been applied or may still be. Reading the row
 				// shows the former; the next write makes its condition fail.
 				w.account.known = false
@@ -296,12 +295,11 @@
 
 // noteCommit counts a transaction and adapts the pace to the store's refusals.
 func (l *Ledger) noteCommit(err error, conflict bool) {
-	var pe *platform.Error
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counters.Transactions++
 	switch {
-	case errors.As(err, &pe) && pe.Kind == platform.Overloaded:
+	case platform.KindOf(err) == platform.Overloaded:
 		l.counters.Retries++
 		l.commits.pace = max(slowLeast, slowCut*l.commits.pace)
 	case err != nil:
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -105,12 +105,13 @@
 // Record is Ledger.Record at the group's home.
 func (h *Homes) Record(ctx context.Context, e Ended) error {
 	e.Line = e.Line.outside(e.Group)
-	err := h.at(ctx, e.Group, e.ID, func(ctx context.Context, home Home) error { return home.Record(ctx, e) },
-		func() error { return h.local.Record(ctx, e) })
-	if err == nil {
-		h.local.keep(KeptTurn{ID: e.ID, Group: e.Group, Turn: e.Turn})
-	}
-	return err
+	return h.at(ctx, e.Group, e.ID, func(ctx context.Context, home Home) error {
+		err := home.Record(ctx, e)
+		if err == nil {
+			h.local.keep(KeptTurn{ID: e.ID, Group: e.Group, Turn: e.Turn})
+		}
+		return err
+	}, func() error { return h.local.Record(ctx, e) })
 }
 
 // Settle is Ledger.Settle at the group's home. It returns at once and is tried until
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -145,7 +145,6 @@
 			if !a.Reserve(o.Turn, o.Most, o.Budget) {
 				return ErrBudget
 			}
-			a.Customer = o.Customer
 			return nil
 		},
 	})
--- a/internal/process/ledger/line.go
+++ b/internal/process/ledger/line.go
@@ -66,59 +66,66 @@
 	return out
 }
 
-// inMemory returns the line that ends with the turn parent of the customer if this VM has
-// all of it in memory.
+// inMemory returns the line that ends with the turn parent of the customer if this VM
+// has all of it in memory.
 func (l *Ledger) inMemory(customer, parent string) (Line, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var line Line
-	for id := parent; id != ""; {
-		t, ok := l.turns.get(id)
-		if !ok || t.Turn.Customer != customer {
-			return Line{}, false
+	line, err := walk("", customer, parent, func(_ turntree.Group, id string) (KeptTurn, error) {
+		t, ok := l.remembered(id)
+		if !ok {
+			return KeptTurn{}, ErrNoTurn
 		}
-		line.Turns = append(line.Turns, t)
-		id = t.Turn.Parent
-	}
-	slices.Reverse(line.Turns)
-	return line, true
+		return t, nil
+	})
+	return line, err == nil
 }
 
 // Line returns the line that ends with the turn parent of the customer. The group
 // is that of the program that continues it.
 func (l *Ledger) Line(ctx context.Context, g turntree.Group, customer, parent string) (Line, error) {
+	line, err := walk(g, customer, parent, func(g turntree.Group, id string) (KeptTurn, error) {
+		return l.find(ctx, g, id)
+	})
+	if err != nil {
+		return Line{}, &Error{Op: "read", Turn: parent, Err: err}
+	}
+	return line, nil
+}
+
+// walk follows a line of the customer from its last turn to its start. find returns a
+// turn by its probable group and its id.
+func walk(g turntree.Group, customer, last string, find func(g turntree.Group, id string) (KeptTurn, error)) (Line, error) {
 	var line Line
-	at := g
-	for id := parent; id != ""; {
-		t, err := l.find(ctx, at, id)
-		if err == nil && t.Turn.Customer != customer {
-			err = ErrNoTurn
-		}
+	for id := last; id != ""; {
+		t, err := find(g, id)
 		if err != nil {
-			return Line{}, &Error{Op: "read", Turn: parent, Err: err}
+			return Line{}, err
+		}
+		if t.Turn.Customer != customer {
+			return Line{}, ErrNoTurn
 		}
 		line.Turns = append(line.Turns, t)
-		id, at = t.Turn.Parent, t.Group
+		id, g = t.Turn.Parent, t.Group
 	}
 	slices.Reverse(line.Turns)
 	return line, nil
 }
 
+// remembered returns a turn from memory.
+func (l *Ledger) remembered(id string) (KeptTurn, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.turns.get(id)
+}
+
 // find returns a turn from memory, from its probable group or by the index.
 func (l *Ledger) find(ctx context.Context, g turntree.Group, id string) (KeptTurn, error) {
-	l.mu.Lock()
-	t, ok := l.turns.get(id)
-	l.mu.Unlock()
-	if ok {
+	if t, ok := l.remembered(id); ok {
 		return t, nil
 	}
 	if err := l.load(ctx, g); err != nil {
 		return KeptTurn{}, err
 	}
-	l.mu.Lock()
-	t, ok = l.turns.get(id)
-	l.mu.Unlock()
-	if ok {
+	if t, ok := l.remembered(id); ok {
 		return t, nil
 	}
 	found, err := l.lookUp(ctx, id)
@@ -131,13 +138,10 @@
 	if err := l.load(ctx, found); err != nil {
 		return KeptTurn{}, err
 	}
-	l.mu.Lock()
-	t, ok = l.turns.get(id)
-	l.mu.Unlock()
-	if !ok {
-		return KeptTurn{}, ErrNoTurn
+	if t, ok := l.remembered(id); ok {
+		return t, nil
 	}
-	return t, nil
+	return KeptTurn{}, ErrNoTurn
 }
 
 // lookUp returns the group of a turn; empty if there is certainly none. A program
--- a/internal/process/platform/platform.go
+++ b/internal/process/platform/platform.go
@@ -3,7 +3,10 @@
 // describes the protocol.
 package platform
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // Key names one row.
 type Key struct {
@@ -125,6 +128,16 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// KindOf returns what may be concluded from an error of this package; any other error
+// leaves the outcome unknown.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return OutcomeUnknown
+}
+
 // Client is what the rest of the process uses of the platform. All errors are
 // of type *Error.
 type Client interface {
--- a/internal/process/replica/failure.go
+++ b/internal/process/replica/failure.go
@@ -18,6 +18,29 @@
 	jitterLow, jitterSpan = 0.75, 0.5
 )
 
+// traffic is what a VM knows of a replica from its own calls and the load reports.
+type traffic struct {
+	load     loadTracker
+	failures detector
+}
+
+// begin counts a call that is about to be sent.
+func (t *traffic) begin(now time.Time) {
+	t.load.change(now, +1)
+	t.failures.begin(now)
+}
+
+// end counts the end of a call; false if none is known to run, as after the replica
+// was dropped meanwhile.
+func (t *traffic) end(now time.Time, vm, replica string, ok bool) bool {
+	if t.load.own == 0 {
+		return false
+	}
+	t.load.change(now, -1)
+	t.failures.end(now, vm, replica, ok)
+	return true
+}
+
 // detector finds a failing replica from the ends of its calls.
 type detector struct {
 	consecutive int
--- a/internal/process/replica/registry.go
+++ b/internal/process/replica/registry.go
@@ -40,8 +40,7 @@
 	// that may lie in the list; zero while it is listed.
 	lapsesAt time.Time
 	refuses  time.Time // it answered that it is not the named replica until then
-	load     loadTracker
-	failures detector
+	traffic
 	slowness float64
 	observed time.Time
 	idle     []time.Time // since when the idle connections are idle, oldest first
@@ -125,8 +124,7 @@
 // Begin counts a request that is about to be sent.
 func (r *Registry) Begin(now time.Time, id string) {
 	if e := r.entries[id]; e != nil {
-		e.load.change(now, +1)
-		e.failures.begin(now)
+		e.begin(now)
 		e.pruneIdle(now)
 		if n := len(e.idle); n > 0 {
 			e.idle = e.idle[:n-1]
@@ -146,12 +144,8 @@
 // End counts the end of a request; ok is false if the replica failed it, and kept
 // says that its connection may be used again.
 func (r *Registry) End(now time.Time, id string, ok, kept bool) {
-	if e := r.entries[id]; e != nil && e.load.own > 0 {
-		e.load.change(now, -1)
-		if kept {
-			e.idle = append(e.idle, now)
-		}
-		e.failures.end(now, r.vm, id, ok)
+	if e := r.entries[id]; e != nil && e.end(now, r.vm, id, ok) && kept {
+		e.idle = append(e.idle, now)
 	}
 }
 
--- a/internal/process/replica/view.go
+++ b/internal/process/replica/view.go
@@ -56,8 +56,7 @@
 	leavingUntil  time.Time
 	listed        bool
 	lastListed    time.Time
-	load          loadTracker
-	failures      detector
+	traffic
 }
 
 // View is the view of one VM. Its methods are called by one goroutine.
@@ -161,20 +160,16 @@
 // Begin counts a call that is about to be sent.
 func (v *View) Begin(now time.Time, replica string) {
 	if e := v.replicas[replica]; e != nil {
-		e.load.change(now, +1)
-		e.failures.begin(now)
+		e.begin(now)
 	}
 }
 
 // End counts the end of a call; ok is false if the replica failed it. A call to
 // a replica that was dropped meanwhile is ignored.
 func (v *View) End(now time.Time, replica string, ok bool) {
-	e := v.replicas[replica]
-	if e == nil || e.load.own == 0 {
-		return
+	if e := v.replicas[replica]; e != nil {
+		e.end(now, v.vm, replica, ok)
 	}
-	e.load.change(now, -1)
-	e.failures.end(now, v.vm, replica, ok)
 }
 
 // RefusedLeaving takes a replica's answer that it is leaving and drops its affinity.
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -145,10 +145,10 @@
 	}
 	reply, err := makeCall(ctx, p.direct, c)
 	if err != nil {
-		if kindOf(err) != platform.Overloaded {
+		if platform.KindOf(err) != platform.Overloaded {
 			p.directFailed()
 		}
-		return Reply{Failed: kindOf(err), Reason: err.Error()}
+		return Reply{Failed: platform.KindOf(err), Reason: err.Error()}
 	}
 	return reply
 }
@@ -188,14 +188,6 @@
 	return reply, err
 }
 
-func kindOf(err error) platform.ErrorKind {
-	var pe *platform.Error
-	if errors.As(err, &pe) {
-		return pe.Kind
-	}
-	return platform.OutcomeUnknown
-}
-
 // call makes a call directly, or through another VM if the direct way is known to
 // fail. A transaction whose outcome is not known is not made again: its caller has
 // to look first.
@@ -206,13 +198,13 @@
 		case err == nil:
 			p.refused.Store(0)
 			return reply, nil
-		case kindOf(err) == platform.HistoryGone:
+		case platform.KindOf(err) == platform.HistoryGone:
 			return reply, err
-		case kindOf(err) == platform.Overloaded:
+		case platform.KindOf(err) == platform.Overloaded:
 			return p.overload(ctx, c, err)
 		}
 		p.directFailed()
-		if c.Transact != nil && !kindOf(err).DidNothing() || ctx.Err() != nil {
+		if c.Transact != nil && !platform.KindOf(err).DidNothing() || ctx.Err() != nil {
 			return reply, err
 		}
 	}
--- a/internal/process/storepath/storepath_test.go
+++ b/internal/process/storepath/storepath_test.go
@@ -191,7 +191,7 @@
 	p := New(shared, func() []Helper { return helpers }, func(State) {})
 	for range 5 {
 		_, err := p.Transact(t.Context(), platform.PartedTx{})
-		require.Equal(t, platform.Overloaded, kindOf(err))
+		require.Equal(t, platform.Overloaded, platform.KindOf(err))
 	}
 	require.Equal(t, Direct, p.State(), "the store answers")
 	require.LessOrEqual(t, shared.calls.Load(), int64(10))
--- a/internal/process/turntree/turntree.go
+++ b/internal/process/turntree/turntree.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// parts is the number of parts over which programs are spread. A part of the
+	// PartCount is the number of parts over which programs are spread. A part of the
 	// platform's store applies 300 transactions a second, the store 800 calls.
-	parts = 8
+	PartCount = 8
 	// groupBytes is the length of a group's name before its encoding.
 	groupBytes = 12
 )
@@ -35,12 +35,12 @@
 // Part returns the part of the store that holds the group's rows.
 func (g Group) Part() string { return partName(uint64(g.PartNumber())) }
 
-// PartNumber returns the number of that part, from 0 up to the number of Parts.
-func (g Group) PartNumber() int { return int(hashing.Sum("group", string(g)) % parts) }
+// PartNumber returns the number of that part, below PartCount.
+func (g Group) PartNumber() int { return int(hashing.Sum("group", string(g)) % PartCount) }
 
 // Parts returns the names of all parts.
 func Parts() []string {
-	names := make([]string, parts)
+	names := make([]string, PartCount)
 	for i := range names {
 		names[i] = partName(uint64(i))
 	}
@@ -67,7 +67,6 @@
 // bound is reserved before it is dispatched and replaced by its use when it ends,
 // so that the sum of both is never above the budget.
 type Account struct {
-	Customer string `msgpack:"c"`
 	// Spent is the number of tokens of ended turns.
 	Spent int64 `msgpack:"s"`
 	// Reserved holds the bounds of running turns by their id.
