Open the daemon's listeners before it starts, and hand them over in tests

Cause: the test fleet chose free ports of the ephemeral range, closed them, and the daemon listened later. A listener of another test process could take a port in between: shown by a trial in which the port of the readiness check was taken, where serveFleet returned "listen tcp 127.0.0.1:45187: bind: address already in use" and the test saw a VM that never logged its start. TestRateHoldsAcrossVMs, TestTurnEndsOnlyWhenDurable and TestConfigurationIsFollowed failed once each with that symptom.

Change: listenFleet opens all listeners, or none, and names address and purpose in its error. The tests keep the listeners open from the choice of the port on, and check that each daemon ended without an error.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -67,17 +68,51 @@
 	callers, readiness, metrics *http.Server
 }
 
-// serveFleet runs the daemon until ctx ends and then shuts it down gracefully.
-func serveFleet(ctx context.Context, s settings.FleetVM, reload <-chan os.Signal) error {
+// fleetListeners holds the open listeners of a fleetDaemon.
+type fleetListeners struct{ peers, callers, readiness, metrics net.Listener }
+
+// listenFleet opens the listeners of the addresses in the settings. If one of them cannot
+// be opened, it closes the others and returns an error with the address and its purpose.
+func listenFleet(s settings.FleetVM) (fleetListeners, error) {
+	var l fleetListeners
+	for _, x := range []struct {
+		purpose string
+		address netip.AddrPort
+		to      *net.Listener
+	}{
+		{"other VMs", s.PeerAddress, &l.peers},
+		{"callers", s.CallerAddress, &l.callers},
+		{"the readiness check", s.ReadyAddress, &l.readiness},
+		{"metrics", s.MetricsAddress, &l.metrics},
+	} {
+		opened, err := net.Listen("tcp", x.address.String())
+		if err != nil {
+			l.close()
+			return fleetListeners{}, fmt.Errorf("cannot listen for %s at %s: %w", x.purpose, x.address, err)
+		}
+		*x.to = opened
+	}
+	return l, nil
+}
+
+// close closes the listeners that are open.
+func (l fleetListeners) close() {
+	for _, x := range []net.Listener{l.peers, l.callers, l.readiness, l.metrics} {
+		if x != nil {
+			_ = x.Close()
+		}
+	}
+}
+
+// serveFleet runs the daemon on the listeners until ctx ends and then shuts it down
+// gracefully. It closes the listeners.
+func serveFleet(ctx context.Context, s settings.FleetVM, listeners fleetListeners, reload <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(goMemoryFraction * float64(s.MemoryBytes)))
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d, err := newFleetDaemon(running, s)
 	if err != nil {
-		return err
-	}
-	listeners, err := d.listen()
-	if err != nil {
+		listeners.close()
 		return err
 	}
 	var wg sync.WaitGroup
@@ -86,10 +121,10 @@
 	wg.Go(func() { d.loop.Run(running) })
 	wg.Go(func() { d.ledger.Run(running) })
 	wg.Go(func() { d.store.Run(running, platform.RangeQuery{Table: fleet.MemberTable}) })
-	wg.Go(func() { reportFailure(failed, d.peers.Serve(running, listeners[0])) })
-	for i, server := range []*http.Server{d.callers, d.readiness, d.metrics} {
-		wg.Go(func() { reportFailure(failed, server.Serve(listeners[i+1])) })
-	}
+	wg.Go(func() { reportFailure(failed, d.peers.Serve(running, listeners.peers)) })
+	wg.Go(func() { reportFailure(failed, d.callers.Serve(listeners.callers)) })
+	wg.Go(func() { reportFailure(failed, d.readiness.Serve(listeners.readiness)) })
+	wg.Go(func() { reportFailure(failed, d.metrics.Serve(listeners.metrics)) })
 	klog.InfoS("Started", "vm", s.VM, "dataCentre", s.DataCentre, "callers", s.CallerAddress, "peers", s.PeerAddress, "ready", s.ReadyAddress, "metrics", s.MetricsAddress, "store", s.StoreAddress)
 	if err = d.run(ctx, reload, failed); err == nil {
 		d.shutdown()
@@ -230,20 +265,6 @@
 	return fleetrpc.HomeClient{Manager: d.peers, Member: member}, true
 }
 
-// listen opens the listeners for peers, callers, the readiness check and metrics, in this
-// order.
-func (d *fleetDaemon) listen() ([]net.Listener, error) {
-	var out []net.Listener
-	for _, a := range []netip.AddrPort{d.settings.PeerAddress, d.settings.CallerAddress, d.settings.ReadyAddress, d.settings.MetricsAddress} {
-		l, err := net.Listen("tcp", a.String())
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, l)
-	}
-	return out, nil
-}
-
 // shutdown stops the daemon gracefully. It reports not ready to the load balancer, tells
 // callers to close their connections, and completes running requests within
 // abortFraction of the stop timeout.
--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
@@ -86,23 +87,47 @@
 
 func (fleet *testFleet) start(name string) {
 	s := settings.FleetVM{VM: name, DataCentre: "a", MemoryBytes: 200 << 20, StopTimeout: 3 * time.Second, StoreAddress: fleet.store.Address()}
+	// The listeners stay open from the choice of the port on. A port that is released and
+	// opened again can be taken by another test process in between.
 	for _, a := range []*netip.AddrPort{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress, &s.MetricsAddress} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(fleet.t, err)
-		*a = netip.MustParseAddrPort(l.Addr().String())
-		require.NoError(fleet.t, l.Close())
+		*a = netip.MustParseAddrPort("127.0.0.1:0")
 	}
+	listeners, err := listenFleet(s)
+	require.NoError(fleet.t, err)
+	s.CallerAddress, s.ReadyAddress = listenAddress(listeners.callers), listenAddress(listeners.readiness)
+	s.PeerAddress, s.MetricsAddress = listenAddress(listeners.peers), listenAddress(listeners.metrics)
 	ctx, stop := context.WithCancel(context.Background())
 	vm := &testVM{settings: s, stop: stop, done: make(chan error, 1)}
 	fleet.vms = append(fleet.vms, vm)
-	go func() { vm.done <- serveFleet(ctx, s, make(chan os.Signal)) }()
+	go func() { vm.done <- serveFleet(ctx, s, listeners, make(chan os.Signal)) }()
 	fleet.t.Cleanup(func() {
 		stop()
-		<-vm.done
+		assert.NoError(fleet.t, <-vm.done, "daemon of %s", name)
 		vm.done <- nil
 	})
 }
 
+func listenAddress(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestTakenAddress guards against a daemon that cannot listen and does not say at which
+// address, and against listeners that it leaves open then.
+func TestTakenAddress(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, taken.Close()) }()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := settings.FleetVM{PeerAddress: listenAddress(free), CallerAddress: listenAddress(taken)}
+	require.NoError(t, free.Close())
+	_, err = listenFleet(s)
+	require.ErrorContains(t, err, "cannot listen for callers at "+s.CallerAddress.String())
+	again, err := net.Listen("tcp", s.PeerAddress.String())
+	require.NoError(t, err, "the listener for other VMs was left open")
+	require.NoError(t, again.Close())
+}
+
 func (fleet *testFleet) ready(vm int) bool {
 	resp, err := fleet.client.Get("http://" + fleet.vms[vm].settings.ReadyAddress.String() + "/v1/readyz")
 	if err != nil {
--- a/cmd/hornbeamvaled/main.go
+++ b/cmd/hornbeamvaled/main.go
@@ -93,7 +93,12 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := serveFleet(ctx, s, reload); err != nil {
+	listeners, err := listenFleet(s)
+	if err != nil {
+		klog.ErrorS(err, "Daemon failed")
+		return exitFailure
+	}
+	if err := serveFleet(ctx, s, listeners, reload); err != nil {
 		klog.ErrorS(err, "Daemon failed")
 		return exitFailure
 	}
