Resume streams at another replica, and bound answers without an end

Cause: routes that say resumable were not decoded. A stream that broke off ended for the caller although the route allows to go on with it, and such a request was not sent to a second replica after a failure. Bytes without an end were bounded by net/http's 10 MB in a head, not at all in a line of an event, and by 8 MiB for each body, which 12 requests at a time turned into 180 MB of heap on a VM that has 112 MB.

Change: a stream that may be resumed goes on at another replica after the last event that the caller has, within one answer, and is repeated before its first byte; only the wait for its head is bounded by a part of the time, not the stream.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -36,6 +36,9 @@
 	// turnCacheFraction is the fraction of the memory limit for the cache of turns. A turn
 	// whose previous turn is cached needs no read of the store.
 	turnCacheFraction = 0.15
+	// replyMemoryFraction is the fraction of the memory limit for large replies that are
+	// read as a whole before they are relayed.
+	replyMemoryFraction = 0.15
 	// goMemoryFraction is the fraction of the VM's memory limit that is set as the soft
 	// memory limit of the Go runtime, near which the garbage collector runs more often.
 	// The rest is for stacks, socket buffers and the runtime itself.
@@ -194,6 +197,7 @@
 	}
 	relays := &relay.Server{
 		Loop: d.loop, Ledger: ledger.NewHomeRouter(d.ledger, log, d.home), Replicas: d.replicas, Store: d.store, Log: log, Metrics: instruments,
+		ReplyMemory: relay.NewReplyMemory(int64(replyMemoryFraction * float64(s.MemoryBytes))),
 	}
 	d.callers = &http.Server{
 		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, CloseConnections: d.closeConnections}),
--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -47,6 +47,7 @@
 const testConfiguration = `{"version":%d,
 "routes":[
  {"name":"chat","host":"app.example","path_prefix":"/chat/","type":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":1,"service":"model","max_attempts":2,"keeps_history":true,"retention_s":60,"target_gap_ms":150},
+ {"name":"triage","host":"app.example","path_prefix":"/triage/","type":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":1,"service":"model","max_attempts":2,"resumable":true,"target_gap_ms":150},
  {"name":"read","host":"app.example","path_prefix":"/read/","type":"idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2,"service":"tools","max_attempts":2},
  {"name":"pay","host":"app.example","path_prefix":"/pay/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2,"service":"tools","max_attempts":2},
  {"name":"open","host":"app.example","path_prefix":"/open/","type":"idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2,"service":"tools","max_attempts":2,"public":true}],
--- /dev/null
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/platform/platformtest"
+)
+
+// TestBrokenStreamIsResumed guards against a caller that gets no whole answer although
+// its stream may be resumed, and against events that are missing or come twice then.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	fleet.model[0].SetBehaviour(platformtest.Behaviour{Events: 2, ResetConnection: true})
+	fleet.model[1].SetBehaviour(platformtest.Behaviour{Events: 3})
+	resumed := 0
+	for range 12 {
+		got := fleet.send(0, "POST", "/triage/1", []byte("x"))
+		require.NoError(t, got.err)
+		require.Equal(t, 200, got.status)
+		for event, text := range map[int]string{1: "id: 1\n", 2: "id: 2\n", 3: "id: 3\n"} {
+			require.Equal(t, 1, strings.Count(got.body, text), "event %d in %q", event, got.body)
+		}
+		if runs := fleet.runs(got.id); len(runs) == 2 {
+			resumed++
+			require.Equal(t, "2", runs[1].Header.Get("Last-Event-Id"))
+			require.Equal(t, "signed-by-m0", got.header.Get("Hornbeamvale-Response-Signature"))
+		}
+	}
+	require.Positive(t, resumed)
+	// A stream that may not be resumed breaks off.
+	fleet.setBehaviour(fleet.model, platformtest.Behaviour{Events: 2, ResetConnection: true})
+	got := fleet.turn(0, "p", "", "one ")
+	require.Error(t, got.err)
+	require.Len(t, fleet.runs(got.id), 1)
+}
+
+// TestEndlessAnswersTakeBoundedMemory guards against replicas that send bytes without an
+// end: the request has to end with a true run state, the connection has to be closed, and
+// the process must keep within the memory of a small VM (112 MB, of which 60% are for Go).
+func TestEndlessAnswersTakeBoundedMemory(t *testing.T) {
+	const parallel, limit = 12, 67 << 20
+	fleet := newTestFleet(t, 1)
+	for _, e := range []platformtest.Endless{
+		platformtest.EndlessHeaderLine, platformtest.EndlessHeaders, platformtest.EndlessChunkLine,
+		platformtest.EndlessBody, platformtest.EndlessEvent, platformtest.EndlessEvents,
+	} {
+		fleet.setBehaviour(fleet.model, platformtest.Behaviour{Endless: e})
+		fleet.setBehaviour(fleet.tools, platformtest.Behaviour{Endless: e})
+		var wait sync.WaitGroup
+		stop := make(chan struct{})
+		peak := make(chan uint64, 1)
+		go func() { peak <- peakHeap(stop) }()
+		for i := range parallel {
+			wait.Go(func() {
+				begun := time.Now()
+				var got reply
+				if i%2 == 0 {
+					got = fleet.send(0, "POST", "/pay/1", nil)
+				} else {
+					got = fleet.turn(0, "p", "", "one ")
+				}
+				assert.Less(t, time.Since(begun), 6*time.Second, "%s", e)
+				if got.err == nil {
+					assert.Contains(t, []int{502, 503, 504}, got.status, "%s", e)
+					assert.False(t, got.status == 503 && len(fleet.runs(got.id)) > 0, "%s: a refusal says not run", e)
+				}
+			})
+		}
+		wait.Wait()
+		close(stop)
+		require.Less(t, <-peak, uint64(limit), "%s", e)
+	}
+}
+
+// peakHeap returns the largest heap in use, in bytes, until stop is closed.
+func peakHeap(stop <-chan struct{}) (peak uint64) {
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapInuse)
+		select {
+		case <-stop:
+			return peak
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/internal/connection/call/forward.go
+++ b/internal/connection/call/forward.go
@@ -66,6 +66,9 @@
 	Address  string
 	// TimeLeft is how long the replica may work on the request.
 	TimeLeft time.Duration
+	// ResumeAfter is the id of the last event of a stream that the replica goes on with;
+	// empty to begin it.
+	ResumeAfter string
 	// Urgency is the rank of the request in the queue of a model replica, from 0
 	// (first) to 9. A negative value leaves the order to the replica.
 	Urgency int
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -28,12 +28,20 @@
 	// if the request can be repeated at another replica.
 	attemptTimeFraction = 0.45
 	// maxReplyBytes bounds an answer that is read as a whole before it is relayed.
-	maxReplyBytes = 8 << 20
+	maxReplyBytes = 4 << 20
+	// smallReplyBytes is the part of an answer that is read without room in the memory for
+	// large replies. largeReplyMemory is what reading a large one takes at most: the buffer
+	// doubles, and the old one is kept while it is copied.
+	smallReplyBytes  = 64 << 10
+	largeReplyMemory = 3 * maxReplyBytes
 )
 
 var (
 	errWrongRequest = errors.New("the answer belongs to another request")
 	errUnsigned     = errors.New("a success without the replica's signature")
+	errHeadLate     = errors.New("no head of an answer within the time of the attempt")
+	errReplySize    = errors.New("the answer is too large")
+	errReplyMemory  = errors.New("no memory is left for a large answer")
 	errIncomplete   = errors.New("the answer is not complete")
 	errNotRunStatus = errors.New("a status that promises that the request has not run, without the promise")
 )
@@ -43,6 +51,10 @@
 	replica   replica.Candidate
 	startedAt time.Time
 	reply     *call.ReplicaResponse
+	end       fleet.EndRequest // posted when the attempt ends
+	cancel    context.CancelFunc
+	timer     *time.Timer // of the time that the attempt may take
+	ended     bool
 }
 
 // dispatch sends the request to one replica after another until one answers. It
@@ -135,19 +147,51 @@
 // tryReplica sends the request to one replica. It reports whether an answer was
 // relayed to the caller, as a whole or in part. If not, it returns the refusal.
 func (x *exchange) tryReplica(to replica.Candidate, prompt []byte, last bool) (answered bool, why *refusal.Refusal) {
-	left := time.Until(x.deadline)
-	if x.route.Repeatable() && !last {
-		left = time.Duration(attemptTimeFraction * float64(left))
-	}
-	ctx, cancel := context.WithTimeout(x.ctx, left)
-	defer cancel() // closes the connection unless the answer was read to its end
 	a := &attempt{replica: to, startedAt: time.Now()}
-	end := fleet.EndRequest{Replica: to.Replica, Kind: x.route.Name}
-	defer func() { _ = x.Loop.Post(context.WithoutCancel(x.ctx), end) }()
+	defer x.endAttempt(a)
+	if why := x.open(a, prompt, "", last); why != nil {
+		return false, why
+	}
+	defer func(start time.Time) { x.steps.transfer = time.Since(start) - x.steps.record }(time.Now())
+	if a.reply.Status < 300 && x.route.Kind == routing.Stream {
+		x.stream(a, prompt)
+		return true, nil
+	}
+	body, err := x.readWhole(a.reply)
+	if err != nil {
+		a.end.Failed = x.ctx.Err() == nil
+		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: err})
+	}
+	a.end.ConnectionReusable = true
+	if a.reply.Status < 300 {
+		a.end.TotalTime = time.Since(a.startedAt)
+		a.end.UnitTime = a.end.TotalTime
+	}
+	x.relayWhole(a.reply, body)
+	return true, nil
+}
 
+// open sends the request to the replica of an attempt and checks the head of its answer.
+// resumeAfter is the id of the last event of a stream that the caller has; empty to begin
+// it. If another replica can be tried and the request may be repeated, the replica gets a
+// part of the remaining time, for its whole answer or for the head of a stream.
+func (x *exchange) open(a *attempt, prompt []byte, resumeAfter string, last bool) *refusal.Refusal {
+	left := time.Until(x.deadline)
+	bounded := x.route.Repeatable() && !last
+	timeout := left
+	if bounded {
+		timeout = time.Duration(attemptTimeFraction * float64(left))
+	}
+	ctx, cancel := context.WithCancel(x.ctx)
+	a.cancel = cancel // closes the connection unless the answer was read to its end
+	a.timer = time.AfterFunc(timeout, cancel)
+	a.end = fleet.EndRequest{Replica: a.replica.Replica, Kind: x.route.Name}
 	request := call.ReplicaRequest{
-		ForwardedRequest: x.request, Prompt: prompt, Replica: to.Replica, Address: to.Address,
-		TimeLeft: left, Urgency: x.urgency(),
+		ForwardedRequest: x.request, Prompt: prompt, Replica: a.replica.Replica, Address: a.replica.Address,
+		TimeLeft: timeout, Urgency: x.urgency(), ResumeAfter: resumeAfter,
+	}
+	if x.route.Kind == routing.Stream {
+		request.TimeLeft = left
 	}
 	if x.customer != nil {
 		request.Customer = x.customer.Name
@@ -155,43 +199,47 @@
 	reply, err := x.Replicas.Send(ctx, request)
 	x.steps.reply = time.Since(a.startedAt)
 	if err != nil {
-		end.Failed = x.ctx.Err() == nil
-		return false, x.attemptFailed(err)
+		a.end.Failed = x.ctx.Err() == nil
+		return x.attemptFailed(err)
 	}
-	defer func() { _ = reply.Body.Close() }()
-	defer func(start time.Time) { x.steps.transfer = time.Since(start) - x.steps.record }(time.Now())
 	a.reply = reply
-	end.Load, end.Misdirected = reply.Load, reply.Misdirected
+	a.end.Load, a.end.Misdirected = reply.Load, reply.Misdirected
 	switch {
 	case !reply.MatchesRequest:
-		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: errWrongRequest})
+		err = errWrongRequest
 	case reply.NotRun || reply.Misdirected:
-		return false, refusal.New(refusal.Overloaded, "replica %s does not take the request", to.Replica).After(defaultRetryAfter)
+		return refusal.New(refusal.Overloaded, "replica %s does not take the request", a.replica.Replica).After(defaultRetryAfter)
 	case impliesNotRun(reply.Status):
 		// Callers read this status as a promise that the request has not run, but the
 		// replica has not made that promise.
-		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: errNotRunStatus})
+		err = errNotRunStatus
 	case reply.Status < 300 && !reply.Signed:
-		end.Failed = true
-		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: errUnsigned})
-	case reply.Status < 300 && x.route.Kind == routing.Stream:
-		end.Failed, end.UnitTime = x.stream(a)
-		end.ConnectionReusable = end.UnitTime > 0
-		end.TotalTime = time.Since(a.startedAt)
-		return true, nil
+		a.end.Failed = true
+		err = errUnsigned
 	}
-	body, err := readWhole(reply)
 	if err != nil {
-		end.Failed = x.ctx.Err() == nil
-		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: err})
+		return x.attemptFailed(&call.ReplicaError{Replica: a.replica.Replica, Run: refusal.Unknown, Err: err})
 	}
-	end.ConnectionReusable = true
-	if reply.Status < 300 {
-		end.TotalTime = time.Since(a.startedAt)
-		end.UnitTime = end.TotalTime
+	if reply.Status < 300 && x.route.Kind == routing.Stream && !a.timer.Stop() {
+		a.end.Failed = x.ctx.Err() == nil
+		return x.attemptFailed(&call.ReplicaError{Replica: a.replica.Replica, Run: refusal.Unknown, Err: errHeadLate})
 	}
-	x.relayWhole(reply, body)
-	return true, nil
+	return nil
+}
+
+// endAttempt releases the connection of an attempt and reports its end to the control
+// thread. It does nothing if that has been done.
+func (x *exchange) endAttempt(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.reply != nil {
+		_ = a.reply.Body.Close()
+	}
+	a.timer.Stop()
+	a.cancel()
+	_ = x.Loop.Post(context.WithoutCancel(x.ctx), a.end)
 }
 
 // impliesNotRun reports whether callers read a status as the promise that the request
@@ -216,16 +264,28 @@
 	return refusal.New(refusal.EndpointFailed, "%v", err).WithRun(run).After(defaultRetryAfter)
 }
 
-// readWhole reads the body of a reply, up to maxReplyBytes.
-func readWhole(reply *call.ReplicaResponse) ([]byte, error) {
+// readWhole reads the body of a reply, up to maxReplyBytes. A body over smallReplyBytes
+// needs room in the memory for large replies, so that replies without an end cannot
+// exhaust the VM's memory together.
+func (x *exchange) readWhole(reply *call.ReplicaResponse) ([]byte, error) {
+	if reply.Length > maxReplyBytes {
+		return nil, errReplySize
+	}
 	var body bytes.Buffer
-	if reply.Length > 0 {
-		body.Grow(int(min(reply.Length, maxReplyBytes)))
+	n, err := io.Copy(&body, io.LimitReader(reply.Body, smallReplyBytes))
+	if err == nil && n == smallReplyBytes {
+		if !x.ReplyMemory.TryAcquire(largeReplyMemory) {
+			return nil, errReplyMemory
+		}
+		defer x.ReplyMemory.Release(largeReplyMemory)
+		_, err = io.Copy(&body, io.LimitReader(reply.Body, maxReplyBytes+1-smallReplyBytes))
 	}
-	if _, err := io.Copy(&body, io.LimitReader(reply.Body, maxReplyBytes+1)); err != nil {
+	switch {
+	case err != nil:
 		return nil, err
-	}
-	if body.Len() > maxReplyBytes || reply.Length >= 0 && int64(body.Len()) != reply.Length {
+	case body.Len() > maxReplyBytes:
+		return nil, errReplySize
+	case reply.Length >= 0 && int64(body.Len()) != reply.Length:
 		return nil, errIncomplete
 	}
 	return body.Bytes(), nil
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -11,6 +11,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
@@ -61,12 +63,20 @@
 	Send(ctx context.Context, r call.ReplicaRequest) (*call.ReplicaResponse, error)
 }
 
+// NewReplyMemory returns the bound of the memory of large replies. It admits at least one
+// reply at a time.
+func NewReplyMemory(bytes int64) *semaphore.Weighted {
+	return semaphore.NewWeighted(max(bytes, largeReplyMemory))
+}
+
 // Server relays requests. It lives as long as the process and holds no state of a
 // request.
 type Server struct {
 	Loop     *fleet.Loop
 	Ledger   *ledger.HomeRouter
 	Replicas ReplicaClient
+	// ReplyMemory bounds the memory of large replies, in bytes.
+	ReplyMemory *semaphore.Weighted
 	// Store tells whether and how this VM reaches the store.
 	Store   *storepath.Path
 	Log     *decisionlog.Log
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -5,82 +5,171 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/internal/version/routing"
 )
 
-// maxEventBytes is the largest size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the largest size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxTurnBytes is the largest output of a turn that is recorded. It is the largest
+	// transaction of the platform's store.
+	maxTurnBytes = 1 << 20
+)
 
-var errEventSize = errors.New("an event is too large")
+var (
+	errEventSize = errors.New("an event is too large")
+	errTurnSize  = errors.New("the output is too large to be recorded")
+	errEventMany = errors.New("more events than the turn's token limit allows")
+)
 
-// stream relays a model's events as they arrive and records the turn before the
-// answer ends. It reports whether the replica failed and returns the mean time between
-// two events with data, 0 if not known.
-func (x *exchange) stream(a *attempt) (failed bool, perEvent time.Duration) {
-	endpoint, _ := x.table.Endpoint(x.endpoint)
+// streamState is what the caller has received of a stream.
+type streamState struct {
+	output        bytes.Buffer // the data of the events, as recorded in the turn
+	first, latest time.Time    // of the events of the present replica
+	lastID        string       // id of the latest event
+	events        int          // events with data, from all replicas
+	replicaEvents int          // events with data, from the present replica
+	heldBack      []byte       // the latest event of an answer with a stated length, sent after the turn is recorded
+}
+
+// stream relays a model's events as they arrive and records the turn before the answer
+// ends. If the replica breaks off a stream that may be resumed, another replica goes on
+// with it.
+func (x *exchange) stream(a *attempt, prompt []byte) {
 	if err := x.answer.Begin(a.reply.Status, a.reply.Headers, a.reply.Length); err != nil {
 		x.outcome = "caller lost"
-		return false, 0
+		return
 	}
-	events := newEventReader(a.reply.Body)
-	var output bytes.Buffer
-	var first, latest time.Time
-	var heldBack []byte // the latest event of an answer with a stated length, sent after the turn is recorded
-	tokenEvents := 0
+	var s streamState
 	for {
-		event, err := events.next()
-		if err == io.EOF {
+		err := x.relayEvents(a, &s)
+		if err == nil {
 			break
 		}
-		if err != nil {
+		if errors.Is(err, errCallerLost) {
+			x.outcome = "caller lost"
+			return
+		}
+		a.end.Failed = x.ctx.Err() == nil
+		x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "tokenEvents", s.events, "err", err)
+		x.endAttempt(a)
+		next := x.resume(a, &s, prompt)
+		if next == nil {
 			x.outcome = "stream broken off by the replica"
 			if x.ctx.Err() != nil {
 				x.outcome = "stream ended by its time limit"
 			}
 			x.answer.Abort()
-			x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "tokenEvents", tokenEvents, "err", err)
-			return x.ctx.Err() == nil, 0
+			return
 		}
-		if latest = time.Now(); first.IsZero() {
-			first = latest
+		defer x.endAttempt(next)
+		a = next
+	}
+	if !x.recordTurn(a, s.output.Bytes()) {
+		x.outcome = "turn not recorded"
+		x.answer.Abort()
+		return
+	}
+	x.outcome = "answered"
+	if len(s.heldBack) > 0 {
+		if err := x.answer.Write(s.heldBack); err != nil {
+			x.outcome = "caller lost"
 		}
-		if len(event.data) > 0 {
-			output.Write(event.data)
-			output.WriteByte('\n')
+	}
+	if s.replicaEvents > 1 {
+		a.end.UnitTime = s.latest.Sub(s.first) / time.Duration(s.replicaEvents-1)
+		a.end.TotalTime = time.Since(a.startedAt)
+	}
+	a.end.ConnectionReusable = true
+}
+
+var errCallerLost = errors.New("the caller has disconnected")
+
+// relayEvents relays the events of one replica until its stream ends. It returns
+// errCallerLost or the reason why the stream broke off.
+func (x *exchange) relayEvents(a *attempt, s *streamState) error {
+	endpoint, _ := x.table.Endpoint(x.endpoint)
+	events := newEventReader(a.reply.Body)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if s.latest = time.Now(); s.first.IsZero() {
+			s.first = s.latest
+		}
+		if len(event.data) > 0 && x.route.KeepsHistory {
+			if s.output.Len()+len(event.data) > maxTurnBytes {
+				return errTurnSize
+			}
+			s.output.Write(event.data)
+			s.output.WriteByte('\n')
+		}
+		if event.hasData && s.events >= x.maxEvents(endpoint) {
+			return errEventMany
 		}
 		if a.reply.Length >= 0 {
-			event.raw, heldBack = heldBack, event.raw
+			event.raw, s.heldBack = s.heldBack, event.raw
 		}
 		if event.hasData {
-			tokenEvents++
+			s.events++
+			s.replicaEvents++
 			x.tokens += int64(endpoint.EventTokens)
 		}
+		if event.id != "" {
+			s.lastID = event.id
+		}
 		if len(event.raw) == 0 {
 			continue
 		}
-		if err := x.answer.Write(event.raw); err != nil {
-			x.outcome = "caller lost"
-			return false, 0
+		if x.answer.Write(event.raw) != nil {
+			return errCallerLost
 		}
 	}
-	if !x.recordTurn(a, output.Bytes()) {
-		x.outcome = "turn not recorded"
-		x.answer.Abort()
-		return false, 0
+}
+
+// maxEvents returns how many events with data the turn may have.
+func (x *exchange) maxEvents(e routing.Endpoint) int {
+	if x.request.MaxTokens <= 0 || e.EventTokens <= 0 {
+		return math.MaxInt
 	}
-	x.outcome = "answered"
-	if len(heldBack) > 0 {
-		if err := x.answer.Write(heldBack); err != nil {
-			x.outcome = "caller lost"
-		}
+	perEvent := int64(e.EventTokens)
+	return int((x.request.MaxTokens+perEvent-1)/perEvent) + 1
+}
+
+// resume continues a stream that broke off at another replica, after the last event that
+// the caller has. It returns nil if the stream must not or cannot be resumed.
+func (x *exchange) resume(from *attempt, s *streamState, prompt []byte) *attempt {
+	if !x.route.Resumable || from.reply.Length >= 0 || s.events > 0 && s.lastID == "" {
+		return nil
 	}
-	if tokenEvents > 1 {
-		perEvent = latest.Sub(first) / time.Duration(tokenEvents-1)
+	excluded := map[string]bool{from.replica.Replica: true}
+	for x.attempts < x.route.MaxAttempts && x.ctx.Err() == nil {
+		picked, why := x.pickReplica(excluded)
+		if why != nil {
+			return nil
+		}
+		excluded[picked.Replica] = true
+		x.attempts++
+		x.replica = picked.Replica
+		a := &attempt{replica: picked, startedAt: time.Now()}
+		if why := x.open(a, prompt, s.lastID, true); why != nil || a.reply.Status >= 300 || a.reply.Length >= 0 {
+			x.endAttempt(a)
+			continue
+		}
+		s.first, s.replicaEvents = time.Time{}, 0
+		x.Log.Request("Stream resumed at another replica", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "after", s.lastID)
+		return a
 	}
-	return false, perEvent
+	return nil
 }
 
 // recordTurn makes the turn durable. It reports whether the answer may end.
@@ -110,6 +199,7 @@
 	data []byte // the values of the data lines, joined by line feeds
 	// hasData is true if the event has a data line. Such an event counts as tokens.
 	hasData bool
+	id      string // empty if the event has none
 }
 
 // eventReader splits a stream into server-sent events.
@@ -119,26 +209,42 @@
 	return &eventReader{r: bufio.NewReaderSize(r, 4096)}
 }
 
+// readLine appends the next line to buffer. It fails with errEventSize as soon as the
+// buffer would exceed maxEventBytes, so that a line without an end takes bounded memory.
+func (e *eventReader) readLine(buffer []byte) ([]byte, error) {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		if len(buffer)+len(part) > maxEventBytes {
+			return buffer, errEventSize
+		}
+		buffer = append(buffer, part...)
+		if err != bufio.ErrBufferFull {
+			return buffer, err
+		}
+	}
+}
+
 // next returns the next event, io.EOF at the end of the stream, or
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	for {
-		line, err := e.r.ReadBytes('\n')
-		if err == io.EOF && len(line)+len(ev.raw) > 0 {
+		before := len(ev.raw)
+		var err error
+		ev.raw, err = e.readLine(ev.raw)
+		if err == io.EOF && len(ev.raw) > 0 {
 			return event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return event{}, err
 		}
-		ev.raw = append(ev.raw, line...)
-		if len(ev.raw) > maxEventBytes {
-			return event{}, errEventSize
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.raw[before:], "\r\n")
 		if len(text) == 0 {
 			return ev, nil
 		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			ev.id = string(bytes.TrimPrefix(id, []byte(" ")))
+		}
 		data, ok := bytes.CutPrefix(text, []byte("data:"))
 		if !ok {
 			continue
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -19,8 +19,8 @@
 // relayed.
 type Kind uint8
 
-// The kinds of routes. The answer of a Stream is relayed as it arrives; the request is
-// never repeated once it may have run.
+// The kinds of routes. The answer of a Stream is relayed as it arrives; unless it is
+// resumable, the request is never repeated once it may have run.
 const (
 	Idempotent Kind = iota + 1
 	NonIdempotent
@@ -53,10 +53,12 @@
 	Retention    time.Duration
 	// Open admits requests without a key.
 	Open bool
+	// Resumable is true if another replica may go on with a stream that broke off.
+	Resumable bool
 }
 
 // Repeatable reports whether a request may be sent again after it may have run.
-func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
 // Endpoint returns the endpoint of the request with the given id, by the weights of the
 // targets. The choice is the same at every VM.
