Count the time for which the VM was suspended in ages and deadlines

Cause: while a VM is suspended the runtime's monotonic clock stands still. After it a confirmation of the configuration (3 s), the use of rate shares (8 s; the others drop the member after 10 s), leases and waits seemed as fresh as before, so a withdrawn key was admitted and a share was spent twice until the next read of the store.

Tests of internal and platform pass. That a real suspension is seen was not run: this machine cannot be suspended.

--- a/cmd/hornbeamvaled/daemon.go
+++ b/cmd/hornbeamvaled/daemon.go
@@ -161,7 +161,7 @@
 // ready returns nil if the load balancer may send traffic to this VM, otherwise the
 // reason why it should not.
 func (d *daemon) ready() error {
-	s, now := d.loop.Snapshot(), time.Now()
+	s, now := d.loop.Snapshot(), clock.Now()
 	switch {
 	case s.Draining:
 		return errStopping
--- a/cmd/hornbeamvaled/metrics.go
+++ b/cmd/hornbeamvaled/metrics.go
@@ -14,6 +14,7 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 // newMetrics registers the metrics of the process and returns the handler of the metrics
@@ -64,7 +65,7 @@
 			o.ObserveInt64(received, int64(in), byType)
 		}
 		o.ObserveInt64(members, int64(len(d.loop.Snapshot().Peers())))
-		o.ObserveInt64(lease, boolMetric(d.loop.Snapshot().LeaseValid(time.Now())))
+		o.ObserveInt64(lease, boolMetric(d.loop.Snapshot().LeaseValid(clock.Now())))
 		o.ObserveInt64(ready, boolMetric(d.ready() == nil))
 		return nil
 	}, cpu, events, served, refused, retries, denied, journalWaitTime, journalWaits, version, dropped, sent, received, members, lease, ready)
--- a/internal/layout_test.go
+++ b/internal/layout_test.go
@@ -1,6 +1,7 @@
 package internal_test
 
 import (
+	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -62,3 +63,23 @@
 	}
 	return 0, false
 }
+
+// TestAgesCountSuspendedTime guards against code that decides by the runtime's clock,
+// which stands still while the VM is suspended: a lease, a rate share or a confirmed
+// configuration would seem valid after it has expired.
+func TestAgesCountSuspendedTime(t *testing.T) {
+	out, err := exec.Command("go", "list", "-f", `{{$dir := .Dir}}{{range .GoFiles}}{{$dir}}/{{.}}{{"\n"}}{{end}}`, "./process/...", "./request/...", "../cmd/hornbeamvaled", "../platform/request").Output()
+	require.NoError(t, err)
+	files := strings.Fields(string(out))
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		if strings.Contains(file, "/process/clock/") || strings.Contains(file, "/platformtest/") {
+			continue
+		}
+		source, err := os.ReadFile(file)
+		require.NoError(t, err)
+		for _, call := range []string{"time.Now", "time.Since(", "time.Until(", "context.WithDeadline("} {
+			require.NotContains(t, string(source), call, "%s uses %s instead of the clock package", file, call)
+		}
+	}
+}
--- a/internal/process/control/join.go
+++ b/internal/process/control/join.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/journal"
 	"hornbeamvale.example/hornbeamvale/internal/process/member"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
@@ -78,7 +79,7 @@
 		return e
 	}
 	e.info.Seat = seat
-	e.sentAt = time.Now()
+	e.sentAt = clock.Now()
 	result, err := c.Commit(ctx, joinTx(self, e.info))
 	switch {
 	case err != nil:
--- a/internal/process/control/limithandover.go
+++ b/internal/process/control/limithandover.go
@@ -104,7 +104,7 @@
 		if !clock.Sleep(ctx, wait) {
 			return nil
 		}
-		e := accountsFetched{self: self, from: from, queries: queries, until: until, askedAt: time.Now()}
+		e := accountsFetched{self: self, from: from, queries: queries, until: until, askedAt: clock.Now()}
 		e.accounts, _ = peers.FetchAccounts(ctx, to, queries) // Apply repeats a failed request
 		return e
 	})
--- a/internal/process/control/orders.go
+++ b/internal/process/control/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/order"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
@@ -87,7 +88,7 @@
 	s.submitJob(func(ctx context.Context) Event {
 		// The lease may have expired if the process was paused since the plan
 		// was made.
-		if loop.Snapshot().LeaseValid(time.Now()) {
+		if loop.Snapshot().LeaseValid(clock.Now()) {
 			_ = endpoints.Order(ctx, o, epoch) // the next report shows the result
 		}
 		return nil
--- a/internal/process/control/poll.go
+++ b/internal/process/control/poll.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/configuration"
 	"hornbeamvale.example/hornbeamvale/internal/process/member"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
@@ -72,7 +73,7 @@
 
 // pollOnce reads until no change list has further rows, then the changed configuration.
 func pollOnce(ctx context.Context, c platform.Client, q pollRequest) pollResult {
-	r := pollResult{sentAt: time.Now(), cursors: q.cursors, leases: map[string]uint64{}}
+	r := pollResult{sentAt: clock.Now(), cursors: q.cursors, leases: map[string]uint64{}}
 	for more := true; more; {
 		more = false
 		read := platform.Read{
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 const (
@@ -89,7 +91,7 @@
 
 // New returns a log of the given VM that keeps the latest capacity events, but at least 1.
 func New(vm string, capacity int) *Log {
-	return &Log{vm: vm, now: time.Now, capacity: max(1, capacity)}
+	return &Log{vm: vm, now: clock.Now, capacity: max(1, capacity)}
 }
 
 // Add appends an event and overwrites the oldest one if the log is full. It sets VM and
--- a/internal/process/eventloop/eventloop.go
+++ b/internal/process/eventloop/eventloop.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 const (
@@ -84,8 +86,8 @@
 			l.apply(e)
 		case <-timer.C:
 		}
-		next := l.state.Step(time.Now())
-		timer.Reset(min(max(time.Until(next), minSleep), MaxSleep))
+		next := l.state.Step(clock.Now())
+		timer.Reset(min(max(clock.Until(next), minSleep), MaxSleep))
 		l.updateCPUTime()
 	}
 }
@@ -93,7 +95,7 @@
 // apply applies an event and further queued events, up to eventsPerStep.
 func (l *Loop[S]) apply(e Event[S]) {
 	for range eventsPerStep {
-		e.Apply(l.state, time.Now())
+		e.Apply(l.state, clock.Now())
 		l.applied.Add(1)
 		select {
 		case e = <-l.events:
@@ -101,7 +103,7 @@
 			return
 		}
 	}
-	e.Apply(l.state, time.Now())
+	e.Apply(l.state, clock.Now())
 	l.applied.Add(1)
 }
 
--- a/internal/process/fleet/members.go
+++ b/internal/process/fleet/members.go
@@ -135,7 +135,7 @@
 func (l *Loop) keepMembership(ctx context.Context) {
 	wasMember, ok := l.wasMember(ctx)
 	for ok && ctx.Err() == nil {
-		sent := time.Now()
+		sent := clock.Now()
 		err := l.writeMember(ctx, l.config.Self)
 		l.noteStoreError("renew member row", err)
 		if err != nil {
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -46,14 +46,14 @@
 	if !l.recentlyFailed() {
 		l.config.Log.State("Failed to call the store", "call", call, "err", err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	l.failedAt.Store(&now)
 }
 
 // recentlyFailed returns whether a call to the store failed within failureWindow.
 func (l *Loop) recentlyFailed() bool {
 	failed := l.failedAt.Load()
-	return failed != nil && time.Since(*failed) < failureWindow
+	return failed != nil && clock.Since(*failed) < failureWindow
 }
 
 // watcher follows one table: it reads the whole table, then its changes.
@@ -109,7 +109,7 @@
 
 func (l *Loop) watchConfiguration(ctx context.Context) {
 	apply := func(ctx context.Context, p platform.Page) {
-		e := configurationRead{at: time.Now()}
+		e := configurationRead{at: clock.Now()}
 		for _, row := range p.Rows {
 			if row.Key.Key != l.config.Sources.Configuration.Key || row.Deleted {
 				continue
@@ -162,7 +162,7 @@
 func (l *Loop) decodeRegistrations(p platform.Page, full bool) replicasRead {
 	e := replicasRead{full: full}
 	if l.recentlyFailed() {
-		e.absentAt = time.Now().Add(registrationGrace)
+		e.absentAt = clock.Now().Add(registrationGrace)
 	}
 	for _, row := range p.Rows {
 		if row.Deleted {
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/member"
 	"hornbeamvale.example/hornbeamvale/internal/process/ownership"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
@@ -35,7 +36,7 @@
 			return WriteResult{Err: err}
 		}
 	}
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	result, err := c.Commit(ctx, b.Tx)
 	switch {
 	case err != nil:
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -178,7 +178,7 @@
 func (h *HomeRouter) inBackoff(vm string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Now().Before(h.backoffs[vm].until)
+	return clock.Now().Before(h.backoffs[vm].until)
 }
 
 func (h *HomeRouter) clearBackoff(vm string) {
@@ -192,7 +192,7 @@
 func (h *HomeRouter) startBackoff(vm string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now, b := time.Now(), h.backoffs[vm]
+	now, b := clock.Now(), h.backoffs[vm]
 	if now.Before(b.until) {
 		return
 	}
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
@@ -105,7 +106,7 @@
 // New returns a ledger that works until ctx ends.
 func New(ctx context.Context, store platform.PartitionedStore, o Options) *Ledger {
 	return &Ledger{
-		store: store, now: time.Now, ctx: ctx, options: o, commits: newCommitter(),
+		store: store, now: clock.Now, ctx: ctx, options: o, commits: newCommitter(),
 		accounts: map[turntree.Group]*account{}, turns: newTurnCache(o.CacheBytes),
 	}
 }
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -114,8 +114,8 @@
 	onChange func(State)
 
 	state      atomic.Int32  // a State
-	failUntil  atomic.Int64  // calls fail immediately until then, in Unix nanoseconds
-	lastAnswer atomic.Int64  // time of the last answer of a proxy, in Unix nanoseconds
+	failUntil  atomic.Int64  // calls fail immediately until then, as clock.Monotonic in nanoseconds
+	lastAnswer atomic.Int64  // the same for the last answer of a proxy; 0 if there was none
 	unanswered atomic.Int32  // consecutive calls to proxies without an answer
 	overloads  atomic.Int32  // consecutive calls refused here for the rate that succeeded at a proxy
 	proxyCalls atomic.Int64  // calls that proxies completed
@@ -239,7 +239,7 @@
 
 // callViaProxies calls one proxy after another until the call succeeds.
 func (p *Path) callViaProxies(ctx context.Context, c Call) (Reply, error) {
-	if time.Now().UnixNano() < p.failUntil.Load() {
+	if clock.Monotonic().Nanoseconds() < p.failUntil.Load() {
 		return Reply{}, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: errFailFast}
 	}
 	proxies := p.proxies()
@@ -271,18 +271,19 @@
 	} else {
 		p.setIndirectState(Isolated)
 	}
-	p.failUntil.Store(time.Now().Add(failFastPeriod).UnixNano())
+	p.failUntil.Store((clock.Monotonic() + failFastPeriod).Nanoseconds())
 	return Reply{}, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: lastErr}
 }
 
 func (p *Path) recentlyAnswered() bool {
-	return time.Since(time.Unix(0, p.lastAnswer.Load())) < answerWindow
+	last := time.Duration(p.lastAnswer.Load())
+	return last > 0 && clock.Monotonic()-last < answerWindow
 }
 
 // nextProxy returns the proxy to call: the last successful one, or the next one that
 // has not failed within proxyRetryDelay.
 func (p *Path) nextProxy(proxies []Proxy) (Proxy, bool) {
-	now := time.Now()
+	now := clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range proxies {
@@ -301,7 +302,7 @@
 	reply, err = p.send(ctx, proxy, c)
 	if err != nil && ctx.Err() == nil || reply.Failed == platform.NotApplied {
 		p.mu.Lock()
-		p.failedAt[proxy.VM()] = time.Now()
+		p.failedAt[proxy.VM()] = clock.Now()
 		p.mu.Unlock()
 	}
 	if err != nil {
@@ -313,7 +314,7 @@
 		}
 		return Reply{}, true, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: err}
 	}
-	p.lastAnswer.Store(time.Now().UnixNano())
+	p.lastAnswer.Store(clock.Monotonic().Nanoseconds())
 	p.unanswered.Store(0)
 	if reply.Failed == "" {
 		p.proxyCalls.Add(1)
--- a/internal/request/operation/backend.go
+++ b/internal/request/operation/backend.go
@@ -10,6 +10,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
 	"hornbeamvale.example/hornbeamvale/internal/connection/operatorhttp"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/configuration"
 	"hornbeamvale.example/hornbeamvale/internal/process/control"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
@@ -35,7 +36,7 @@
 
 // Submit implements operatorhttp.Backend.
 func (b *Backend) Submit(ctx context.Context, s operatorhttp.Submission) (operatorhttp.Accepted, error) {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	loaded, err := configuration.Submit(ctx, b.Platform, s.Base, s.Document, s.SubmissionID)
 	if err != nil {
 		return operatorhttp.Accepted{}, operatorError(s.Base, err)
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -98,13 +98,13 @@
 // pickReplica chooses a replica. If none can take the request, it picks again every
 // pickRetryInterval, at most maxPickRetries times.
 func (x *exchange) pickReplica(excluded map[string]bool) (replica.Candidate, *refusal.Refusal) {
-	defer measure(&x.steps.place, time.Now())
+	defer measure(&x.steps.place, clock.Now())
 	request := fleet.PickRequest{
 		ID: x.request.ID, Endpoint: x.endpoint, PromptTokens: x.request.PromptTokens,
 		Excluded: excluded, CachedTokens: x.cachedTokens(), Program: x.request.Program.ID, LineTokens: lineTokens(x.request),
 	}
 	for retries := 0; ; retries++ {
-		if time.Until(x.deadline) < minRemaining {
+		if clock.Until(x.deadline) < minRemaining {
 			return replica.Candidate{}, x.timeLimitRefusal(refusal.NotRun)
 		}
 		reply := make(chan fleet.PickResult, 1)
@@ -147,12 +147,12 @@
 // tryReplica sends the request to one replica. It reports whether an answer was
 // relayed to the caller, as a whole or in part. If not, it returns the refusal.
 func (x *exchange) tryReplica(to replica.Candidate, prompt []byte, last bool) (answered bool, why *refusal.Refusal) {
-	a := &attempt{replica: to, startedAt: time.Now()}
+	a := &attempt{replica: to, startedAt: clock.Now()}
 	defer x.endAttempt(a)
 	if why := x.open(a, prompt, "", last); why != nil {
 		return false, why
 	}
-	defer func(start time.Time) { x.steps.transfer = time.Since(start) - x.steps.record }(time.Now())
+	defer func(start time.Time) { x.steps.transfer = clock.Since(start) - x.steps.record }(clock.Now())
 	if a.reply.Status < 300 && x.route.Kind == routing.Stream {
 		x.stream(a, prompt)
 		return true, nil
@@ -164,7 +164,7 @@
 	}
 	a.end.ConnectionReusable = true
 	if a.reply.Status < 300 {
-		a.end.TotalTime = time.Since(a.startedAt)
+		a.end.TotalTime = clock.Since(a.startedAt)
 		a.end.UnitTime = a.end.TotalTime
 	}
 	x.relayWhole(a.reply, body)
@@ -176,7 +176,7 @@
 // it. If another replica can be tried and the request may be repeated, the replica gets a
 // part of the remaining time, for its whole answer or for the head of a stream.
 func (x *exchange) open(a *attempt, prompt []byte, resumeAfter string, last bool) *refusal.Refusal {
-	left := time.Until(x.deadline)
+	left := clock.Until(x.deadline)
 	bounded := x.route.Repeatable() && !last
 	timeout := left
 	if bounded {
@@ -197,7 +197,7 @@
 		request.Customer = x.customer.Name
 	}
 	reply, err := x.Replicas.Send(ctx, request)
-	x.steps.reply = time.Since(a.startedAt)
+	x.steps.reply = clock.Since(a.startedAt)
 	if err != nil {
 		a.end.Failed = x.ctx.Err() == nil
 		return x.attemptFailed(err)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
@@ -116,19 +117,19 @@
 }
 
 // measure adds the time since start to a step.
-func measure(step *time.Duration, start time.Time) { *step += time.Since(start) }
+func measure(step *time.Duration, start time.Time) { *step += clock.Since(start) }
 
 // Serve answers a request. ctx ends when the caller has disconnected.
 func (s *Server) Serve(ctx context.Context, request *call.ForwardedRequest, answer call.ResponseWriter) {
 	x := &exchange{Server: s, request: request, answer: answer, deadline: request.Received.Add(defaultTimeout)}
 	snapshot := s.Loop.Snapshot()
-	if why := x.admit(snapshot, time.Now()); why != nil {
+	if why := x.admit(snapshot, clock.Now()); why != nil {
 		x.refuse(why)
 		x.finish(ctx)
 		return
 	}
 	var cancel context.CancelFunc
-	x.ctx, cancel = context.WithDeadline(ctx, x.deadline)
+	x.ctx, cancel = context.WithTimeout(ctx, clock.Until(x.deadline))
 	defer cancel()
 	if why := x.serve(); why != nil {
 		x.refuse(why)
@@ -160,7 +161,7 @@
 	if x.customer == nil {
 		return nil
 	}
-	defer measure(&x.steps.rate, time.Now())
+	defer measure(&x.steps.rate, clock.Now())
 	reply := make(chan fleet.TakeRateTokenResult, 1)
 	take := fleet.TakeRateToken{
 		Customer: x.customer.Name, Deadline: x.deadline, Reply: reply,
@@ -188,12 +189,12 @@
 	if x.route.Kind != routing.Stream || x.customer == nil || p.ID == "" {
 		return nil
 	}
-	defer measure(&x.steps.prepare, time.Now())
+	defer measure(&x.steps.prepare, clock.Now())
 	x.group = turntree.GroupOf(x.customer.Name, p.ID)
 	if x.Store.State() == storepath.Isolated {
 		return refusal.New(refusal.StoreUnavailable, "this VM reaches neither the store nor another VM").After(isolatedRetryAfter)
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, min(storeTimeout, time.Duration(storeTimeFraction*float64(time.Until(x.deadline)))))
+	ctx, cancel := context.WithTimeout(x.ctx, min(storeTimeout, time.Duration(storeTimeFraction*float64(clock.Until(x.deadline)))))
 	defer cancel()
 	open := ledger.OpenRequest{
 		Group: x.group, Customer: x.customer.Name, Turn: x.request.ID, MaxTokens: x.request.MaxTokens, Budget: p.TokenBudget,
@@ -236,7 +237,7 @@
 
 // finish logs and counts the request with its outcome.
 func (x *exchange) finish(ctx context.Context) {
-	duration := time.Since(x.request.Received)
+	duration := clock.Since(x.request.Received)
 	if ctx.Err() != nil {
 		x.outcome += " (caller gone)"
 	}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -8,6 +8,7 @@
 	"math"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
@@ -83,7 +84,7 @@
 	}
 	if s.replicaEvents > 1 {
 		a.end.UnitTime = s.latest.Sub(s.first) / time.Duration(s.replicaEvents-1)
-		a.end.TotalTime = time.Since(a.startedAt)
+		a.end.TotalTime = clock.Since(a.startedAt)
 	}
 	a.end.ConnectionReusable = true
 }
@@ -103,7 +104,7 @@
 		if err != nil {
 			return err
 		}
-		if s.latest = time.Now(); s.first.IsZero() {
+		if s.latest = clock.Now(); s.first.IsZero() {
 			s.first = s.latest
 		}
 		if len(event.data) > 0 && x.route.KeepsHistory {
@@ -160,7 +161,7 @@
 		excluded[picked.Replica] = true
 		x.attempts++
 		x.replica = picked.Replica
-		a := &attempt{replica: picked, startedAt: time.Now()}
+		a := &attempt{replica: picked, startedAt: clock.Now()}
 		if why := x.open(a, prompt, s.lastID, true); why != nil || a.reply.Status >= 300 || a.reply.Length >= 0 {
 			x.endAttempt(a)
 			continue
@@ -177,7 +178,7 @@
 	if !x.route.KeepsHistory || x.group == "" {
 		return true
 	}
-	defer measure(&x.steps.record, time.Now())
+	defer measure(&x.steps.record, clock.Now())
 	err := x.Ledger.Record(x.ctx, ledger.RecordRequest{
 		Group: x.group, ID: x.request.ID, Used: x.tokens, History: x.history, Retention: x.route.Retention,
 		Turn: turntree.Turn{
--- a/internal/request/turn/dispatch.go
+++ b/internal/request/turn/dispatch.go
@@ -12,6 +12,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
 	"hornbeamvale.example/hornbeamvale/internal/connection/endpointhttp"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/control"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/program"
@@ -110,7 +111,7 @@
 	d.Log.Add(eventlog.Event{Kind: eventlog.TurnDispatched, Customer: req.Turn.Customer, Run: req.Turn.Call.Run, Turn: int64(req.Number), Detail: address})
 	var result DispatchResult
 	var err error
-	started := time.Now()
+	started := clock.Now()
 	if req.Turn.Call.Chat != nil {
 		result, err = d.chat(ctx, ep, req, address, relay)
 		release.Usage = replica.Usage{
@@ -119,7 +120,7 @@
 	} else {
 		result, err = d.service(ctx, ep, req, address)
 	}
-	result.ServiceTime = time.Since(started)
+	result.ServiceTime = clock.Since(started)
 	release.ExtraCost = float64(result.ServiceTime.Milliseconds()) - expectedCost(req)
 	if err != nil {
 		f := failureOf(err, address)
@@ -136,7 +137,7 @@
 // the program now. A process that lost its lease joins again under another member id,
 // whose lease does not cover turns that were granted before.
 func (d *Dispatcher) mayDispatch(req DispatchRequest) *refusal.Refusal {
-	if req.Turn.Call.Run == "" || d.Loop.Snapshot().MayDispatch(time.Now(), req.Turn.Key().Slot(), req.Decision.Owner) {
+	if req.Turn.Call.Run == "" || d.Loop.Snapshot().MayDispatch(clock.Now(), req.Turn.Key().Slot(), req.Decision.Owner) {
 		return nil
 	}
 	return refusal.New(refusal.OwnerUnavailable, "the lease of the program's owner has expired").After(time.Second)
@@ -150,7 +151,7 @@
 	e := control.AcquireReplica{
 		ID: req.Turn.Call.RequestID + "/" + req.Turn.Call.Run + "/" + strconv.Itoa(n), Endpoint: ep.Name, Customer: req.Turn.Customer,
 		Run: replicaRunID(req.Turn.Key()), Cost: expectedCost(req), AttainedService: float64(req.Decision.AttainedService), PromptTokens: prompt,
-		Excluded: cloneSet(excluded), Deadline: time.Now().Add(d.Limits.QueueWait), Reply: reply,
+		Excluded: cloneSet(excluded), Deadline: clock.Now().Add(d.Limits.QueueWait), Reply: reply,
 	}
 	if req.Decision.Affinity.Endpoint == ep.Name {
 		e.Affinity = req.Decision.Affinity.Replica
--- a/internal/request/turn/entry.go
+++ b/internal/request/turn/entry.go
@@ -98,7 +98,7 @@
 
 // localState returns the state of this VM that admission depends on.
 func (e *Entry) localState() admission.LocalState {
-	s, now := e.Loop.Snapshot(), time.Now()
+	s, now := e.Loop.Snapshot(), clock.Now()
 	return admission.LocalState{
 		Version: s.Version, VM: s.Info.VM, Joined: s.Joined && s.SeatValid(now), Fresh: s.ConfigurationFresh(now), Stopping: s.Stopping,
 	}
@@ -110,8 +110,8 @@
 	if customer == "" {
 		return nil
 	}
-	deadline := time.Now().Add(e.Limits.RateWait)
-	wait, cancel := context.WithDeadline(ctx, deadline)
+	deadline := clock.Now().Add(e.Limits.RateWait)
+	wait, cancel := context.WithTimeout(ctx, clock.Until(deadline))
 	defer cancel()
 	reply := make(chan bool, 1)
 	if e.Loop.Post(wait, control.TakeRateToken{Customer: customer, Deadline: deadline, Reply: reply}) != nil {
@@ -132,7 +132,7 @@
 // call again, to the new owner if there is one, for up to OwnerWait. A non-idempotent
 // call is not run twice by that: the owner's records decide whether it may run again.
 func (e *Entry) route(ctx context.Context, t Turn, r call.Responder) *refusal.Refusal {
-	deadline := time.Now().Add(e.Limits.OwnerWait)
+	deadline := clock.Now().Add(e.Limits.OwnerWait)
 	relay := &resumer{next: r}
 	var earlierRun refusal.RunState = refusal.NotRun
 	for {
@@ -144,7 +144,7 @@
 			earlierRun = refusal.Unknown
 		}
 		again := why.Code == refusal.OwnerUnavailable
-		if !again || time.Now().Add(ownerRetryInterval).After(deadline) {
+		if !again || clock.Now().Add(ownerRetryInterval).After(deadline) {
 			return withEarlierRun(why, earlierRun)
 		}
 		e.Log.Add(eventlog.Event{Kind: eventlog.TurnRetried, Customer: t.Customer, Run: t.Call.Run, Turn: int64(t.Call.Turn), Detail: why.Message})
@@ -223,14 +223,14 @@
 // atOwner calls do with the slot's owner and repeats it while the owner is
 // unavailable, for up to OwnerWait. The operation has to be idempotent.
 func (e *Entry) atOwner(ctx context.Context, slot ownership.Slot, do func(p control.Peer, self bool) *refusal.Refusal) *refusal.Refusal {
-	deadline := time.Now().Add(e.Limits.OwnerWait)
+	deadline := clock.Now().Add(e.Limits.OwnerWait)
 	for {
 		s := e.Loop.Snapshot()
 		why := refusal.New(refusal.OwnerUnavailable, "the program has no owner now").After(time.Second)
 		if p, ok := s.Owner(slot); ok {
 			why = do(p, p.ID == s.Self)
 		}
-		if why == nil || why.Code != refusal.OwnerUnavailable || time.Now().After(deadline) {
+		if why == nil || why.Code != refusal.OwnerUnavailable || clock.Now().After(deadline) {
 			return why
 		}
 		if !clock.Sleep(ctx, ownerRetryInterval) {
--- a/internal/request/turn/owner.go
+++ b/internal/request/turn/owner.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/control"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/program"
@@ -72,7 +73,7 @@
 // begin asks the control loop to start the turn and waits for the decision.
 func (o *Owner) begin(ctx context.Context, t Turn) program.Decision {
 	v := o.Loop.Snapshot().Version
-	now := time.Now()
+	now := clock.Now()
 	req := program.TurnRequest{
 		Key: t.Key(), Kind: kindOf(&t), Turn: t.Call.Turn, RequestID: t.Call.RequestID,
 		Digest: digest(&t.Call), Endpoint: t.Call.Endpoint, Deadline: now.Add(o.Limits.OrderWait),
@@ -160,10 +161,10 @@
 	}
 	timer := time.NewTimer(o.Limits.JournalWait)
 	defer timer.Stop()
-	waitStart := time.Now()
+	waitStart := clock.Now()
 	select {
 	case end := <-reply:
-		o.Counters.waitedForJournal(time.Since(waitStart))
+		o.Counters.waitedForJournal(clock.Since(waitStart))
 		if end.Refusal != nil {
 			return end.Refusal
 		}
