Keep a program's rows for the retention after every change

Cause: only the record of a turn carried the retention; a reservation and a settlement set the expiry of the VM's account to the moment of the change. A VM that had only settled a turn had the latest revision and deleted the program's rows 30 s after it, turns and spent budget within their retention too. Programs without history lost their budget after 30 s although they may come back within the retention.

Change: every change carries the route's retention; a change that states none counts for a minute.

--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -172,7 +172,7 @@
 
 // turn sends a turn of a program; parent is the id of the previous turn or empty.
 func (fleet *testFleet) turn(vm int, program, parent, input string, headers ...string) reply {
-	headers = append(headers, "Hornbeamvale-Program-Id", program, "Hornbeamvale-Token-Usage", "100,50")
+	headers = append([]string{"Hornbeamvale-Program-Id", program, "Hornbeamvale-Token-Usage", "100,50"}, headers...)
 	if parent != "" {
 		headers = append(headers, "Hornbeamvale-Previous-Turn", parent)
 	}
@@ -407,7 +407,8 @@
 	fleet := newTestFleet(t, 2)
 	fleet.setBehaviour(fleet.model, platformtest.Behaviour{Events: 8, Gap: 100 * time.Millisecond})
 	done := make(chan reply)
-	go func() { done <- fleet.turn(0, "p", "", "one ") }()
+	// Eight events of 14 tokens.
+	go func() { done <- fleet.turn(0, "p", "", "one ", "Hornbeamvale-Token-Usage", "100,112") }()
 	fleet.eventually(func() bool { return len(fleet.model[0].Runs())+len(fleet.model[1].Runs()) > 0 })
 	fleet.vms[0].stop()
 	fleet.eventually(func() bool { return !fleet.ready(0) })
--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -191,7 +191,7 @@
 		default:
 			u.account.value, u.account.revision = u.value, result.Revision
 			for _, c := range u.changes {
-				u.account.expires = clock.Later(u.account.expires, l.now().Add(c.retention))
+				u.account.expires = clock.Later(u.account.expires, l.now().Add(max(c.retention, minRetention)))
 			}
 			l.finish(u, nil)
 		}
--- /dev/null
+++ b/internal/process/ledger/expiry_test.go
@@ -0,0 +1,49 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/platform/connection"
+	"hornbeamvale.example/hornbeamvale/platform/platformtest"
+)
+
+// TestRowsAreKeptForTheRetention guards against a VM that only settled a turn of a program
+// and then deletes its rows: the retention of the turns was known to the VM that recorded
+// them only, so turns and budgets were gone 30 s after the settlement.
+func TestRowsAreKeptForTheRetention(t *testing.T) {
+	const retention = time.Minute
+	store := platformtest.NewStore(t)
+	now := time.Unix(1_000_000, 0)
+	newLedger := func() *Ledger {
+		l := New(t.Context(), connection.NewStoreClient(store.Address()), Options{CacheBytes: 1 << 20, Rate: func() float64 { return 0 }})
+		l.now = func() time.Time { return now }
+		return l
+	}
+	g := turntree.GroupOf("parish", "p")
+	a, b := newLedger(), newLedger()
+	_, err := a.Open(t.Context(), OpenRequest{Group: g, Customer: "parish", Turn: "1", MaxTokens: 10, Budget: 30, Retention: retention})
+	require.NoError(t, err)
+	require.NoError(t, a.Record(t.Context(), RecordRequest{
+		Group: g, ID: "1", Used: 10, Retention: retention, Turn: turntree.Turn{Customer: "parish", Input: []byte("x")},
+	}))
+	_, err = b.Open(t.Context(), OpenRequest{Group: g, Customer: "parish", Turn: "2", Parent: "1", MaxTokens: 10, Budget: 30, Retention: retention})
+	require.NoError(t, err)
+	require.NoError(t, b.Settle(t.Context(), SettleRequest{Group: g, Turn: "2", Used: 10, Retention: retention}))
+
+	now = now.Add(retention - time.Second)
+	b.expire(t.Context())
+	a.expire(t.Context())
+	_, err = newLedger().History(t.Context(), g, "parish", "1")
+	require.NoError(t, err, "the turn was deleted within its retention")
+	_, err = newLedger().Open(t.Context(), OpenRequest{Group: g, Customer: "parish", Turn: "3", Parent: "1", MaxTokens: 20, Budget: 30})
+	require.ErrorIs(t, err, ErrBudgetExceeded, "the spent budget was forgotten")
+
+	now = now.Add(accountIdleTimeout + 2*time.Second)
+	b.expire(t.Context())
+	_, err = newLedger().History(t.Context(), g, "parish", "1")
+	require.ErrorIs(t, err, ErrTurnNotFound, "rows are kept forever")
+}
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -40,6 +40,9 @@
 	// exceeds the outages of the store. If it ends, the reservation stays: the program
 	// can then use less than its budget, never more.
 	settleTimeout = 30 * time.Second
+	// minRetention is how long a program's rows are kept if a change states no retention:
+	// the program may come back within the time for which the routes keep its turns.
+	minRetention = time.Minute
 	// accountIdleTimeout is how long an unused account stays in memory.
 	accountIdleTimeout = 30 * time.Second
 	// expiryInterval is the time between two searches for expired accounts and groups.
@@ -129,6 +132,8 @@
 	// maximum for all turns of the program. A Budget of 0 means no limit.
 	MaxTokens int64 `msgpack:"m"`
 	Budget    int64 `msgpack:"b"`
+	// Retention is how long the program's rows are kept after this change.
+	Retention time.Duration `msgpack:"r,omitempty"`
 	// HasHistory is set if the caller already has the history.
 	HasHistory bool `msgpack:"h,omitempty"`
 }
@@ -145,7 +150,7 @@
 		}
 	}
 	err := l.change(ctx, o.Group, o.Parent == "", &change{
-		op: "reserve", turn: o.Turn, reserves: true,
+		op: "reserve", turn: o.Turn, reserves: true, retention: o.Retention,
 		apply: func(a *turntree.Account) error {
 			if !a.Reserve(o.Turn, o.MaxTokens, o.Budget) {
 				return ErrBudgetExceeded
@@ -162,12 +167,14 @@
 	Group turntree.Group `msgpack:"g"`
 	Turn  string         `msgpack:"t"`
 	Used  int64          `msgpack:"u"`
+	// Retention is how long the program's rows are kept after this change.
+	Retention time.Duration `msgpack:"r,omitempty"`
 }
 
 // Settle durably replaces a turn's reservation by its use.
 func (l *Ledger) Settle(ctx context.Context, s SettleRequest) error {
 	return l.change(ctx, s.Group, false, &change{
-		op: "settle", turn: s.Turn,
+		op: "settle", turn: s.Turn, retention: s.Retention,
 		apply: func(a *turntree.Account) error {
 			a.Settle(s.Turn, s.Used)
 			return nil
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -147,7 +147,7 @@
 		why = x.dispatch()
 	}
 	if x.reserved {
-		x.Ledger.Settle(ledger.SettleRequest{Group: x.group, Turn: x.request.ID, Used: x.tokens})
+		x.Ledger.Settle(ledger.SettleRequest{Group: x.group, Turn: x.request.ID, Used: x.tokens, Retention: x.route.Retention})
 	}
 	if why != nil && why.Run == refusal.NotRun && x.customer != nil {
 		// Only requests that may have run count against the rate.
@@ -198,6 +198,7 @@
 	defer cancel()
 	open := ledger.OpenRequest{
 		Group: x.group, Customer: x.customer.Name, Turn: x.request.ID, MaxTokens: x.request.MaxTokens, Budget: p.TokenBudget,
+		Retention: x.route.Retention,
 	}
 	if x.route.KeepsHistory {
 		open.Parent = p.Parent
