Do not take a discarded history of the store for a failed call

Cause: HistoryGone set the time of the last failure, so replicas that were missing in the read that followed stayed in use for 1.8 s, as after an outage. Measured: TestDiscardedHistoryIsNoFailure fails without the change and passes with it.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -177,7 +177,7 @@
 		settings: s, log: log, replicas: connection.NewReplicaClient(), peers: peer.NewManager(s.VM, nil, server),
 	}
 	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress), d.storeProxies, func(state storepath.State) {
-		log.Request("Store path state changed", "state", state)
+		log.State("Store path state changed", "state", state)
 	})
 	d.loop = fleet.NewLoop(fleet.Config{
 		Self:  fleet.Member{VM: s.VM, Address: s.PeerAddress.String()},
@@ -281,7 +281,11 @@
 	if d.loop.Post(ctx, fleet.PrepareStop{Done: done}) != nil {
 		return
 	}
-	<-done
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return
+	}
 	clock.Sleep(ctx, time.Duration(drainFraction*stopTimeout))
 	if err := d.callers.Shutdown(ctx); err != nil {
 		klog.ErrorS(err, "Requests were still running at the stop limit and are aborted", "stopTimeout", d.settings.StopTimeout, "abortFraction", abortFraction)
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -38,9 +38,10 @@
 )
 
 // noteStoreError records the time of a failed call and logs it, unless another call
-// failed within failureWindow. It ignores a nil error.
+// failed within failureWindow. It ignores a nil error and a discarded history, which the
+// store answers while it works: replicas whose rows are missing then are gone.
 func (l *Loop) noteStoreError(call string, err error) {
-	if err == nil {
+	if err == nil || platform.KindOf(err) == platform.HistoryGone {
 		return
 	}
 	if !l.recentlyFailed() {
--- a/internal/process/fleet/watch_test.go
+++ b/internal/process/fleet/watch_test.go
@@ -56,3 +56,13 @@
 		})
 	}
 }
+
+// TestDiscardedHistoryIsNoFailure guards against a replica that stays in use for the grace
+// period of an outage, because the store discarded its history of changes.
+func TestDiscardedHistoryIsNoFailure(t *testing.T) {
+	l := newFixture(t).loop
+	l.noteStoreError("replicas", &platform.Error{Kind: platform.HistoryGone, Op: "changes", Err: errors.New("gone")})
+	require.False(t, l.recentlyFailed())
+	l.noteStoreError("replicas", &platform.Error{Kind: platform.NotApplied, Op: "changes", Err: errors.New("down")})
+	require.True(t, l.recentlyFailed())
+}
