Accept the last connections of a planned stop before the server shuts down

Cause: at the end of the drain http.Server.Shutdown closed the listener and looked for connections in one step. A connection that had been accepted but not registered was not waited for and was closed without an answer. Change: new connections are accepted until none has come for 200 ms (after the drain, at most until 0.6 of the stop timeout); then the listener is closed, the requests of the last connections are read for 100 ms, and then the server shuts down. Connections that the kernel had not handed over when the listener closed are reset; the test checks that their requests did not run.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -47,6 +48,14 @@
 	// accepted: the load balancer sends new connections until two readiness checks, one
 	// second apart, have failed.
 	drainFraction = 0.35
+	// acceptFraction is the fraction of the stop timeout until which new connections are
+	// accepted if they keep arriving. Without new ones for quietPeriod the listener is
+	// closed earlier, but not before drainFraction.
+	acceptFraction = 0.6
+	quietPeriod    = 200 * time.Millisecond
+	// acceptedPeriod is the time in which the requests of connections that were accepted
+	// last are read before idle connections are closed.
+	acceptedPeriod = 100 * time.Millisecond
 	// abortFraction is the fraction of the stop timeout after which running requests are
 	// aborted, so that the process exits before the platform kills it.
 	abortFraction = 0.93
@@ -69,6 +78,9 @@
 	replicas *connection.ReplicaClient
 
 	callers, readiness, metrics *http.Server
+	// lastAccepted is when the last connection of a caller was accepted, as
+	// clock.Monotonic in nanoseconds.
+	lastAccepted atomic.Int64
 }
 
 // fleetListeners holds the open listeners of a fleetDaemon.
@@ -130,7 +142,7 @@
 	wg.Go(func() { reportFailure(failed, d.metrics.Serve(listeners.metrics)) })
 	klog.InfoS("Started", "vm", s.VM, "dataCentre", s.DataCentre, "callers", s.CallerAddress, "peers", s.PeerAddress, "ready", s.ReadyAddress, "metrics", s.MetricsAddress, "store", s.StoreAddress)
 	if err = d.run(ctx, reload, failed); err == nil {
-		d.shutdown()
+		d.shutdown(listeners.callers)
 	}
 	cancel()
 	d.peers.Close()
@@ -202,6 +214,11 @@
 	d.callers = &http.Server{
 		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, CloseConnections: d.closeConnections}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				d.lastAccepted.Store(clock.Monotonic().Nanoseconds())
+			}
+		},
 	}
 	d.readiness = &http.Server{
 		Handler:           platformrequest.Ready(d.ready),
@@ -270,12 +287,15 @@
 }
 
 // shutdown stops the daemon gracefully. It reports not ready to the load balancer, tells
-// callers to close their connections, and completes running requests within
-// abortFraction of the stop timeout.
-func (d *fleetDaemon) shutdown() {
+// callers to close their connections, accepts connections until the load balancer sends no
+// more, and completes running requests within abortFraction of the stop timeout.
+func (d *fleetDaemon) shutdown(callers net.Listener) {
 	klog.InfoS("Stopping", "vm", d.settings.VM, "stopTimeout", d.settings.StopTimeout)
-	stopTimeout := float64(d.settings.StopTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(abortFraction*stopTimeout))
+	part := func(fraction float64) time.Duration {
+		return time.Duration(fraction * float64(d.settings.StopTimeout))
+	}
+	begun := clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), part(abortFraction))
 	defer cancel()
 	done := make(chan struct{})
 	if d.loop.Post(ctx, fleet.PrepareStop{Done: done}) != nil {
@@ -286,7 +306,14 @@
 	case <-ctx.Done():
 		return
 	}
-	clock.Sleep(ctx, time.Duration(drainFraction*stopTimeout))
+	clock.Sleep(ctx, part(drainFraction))
+	for clock.Since(begun) < part(acceptFraction) && clock.Monotonic()-time.Duration(d.lastAccepted.Load()) < quietPeriod {
+		clock.Sleep(ctx, quietPeriod/4)
+	}
+	// Shutdown would return at once if no connection were known at this moment, although
+	// the last ones may just have been accepted.
+	_ = callers.Close()
+	clock.Sleep(ctx, acceptedPeriod)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		klog.ErrorS(err, "Requests were still running at the stop limit and are aborted", "stopTimeout", d.settings.StopTimeout, "abortFraction", abortFraction)
 	}
--- a/cmd/hornbeamvaled/replica_fault_test.go
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -1,9 +1,15 @@
 package main
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,3 +98,58 @@
 		}
 	}
 }
+
+// TestStopUnderLoadCutsNoRequest guards against requests that were accepted in the last
+// moment before a planned stop and get no answer: on new connections, and on kept ones
+// whose next request crosses the stop.
+func TestStopUnderLoadCutsNoRequest(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	fleet.setBehaviour(fleet.tools, platformtest.Behaviour{Delay: 30 * time.Millisecond})
+	address := fleet.vms[0].settings.CallerAddress.String()
+	stopped := make(chan struct{})
+	var answered, cut atomic.Int64
+	var wait sync.WaitGroup
+	for i := range 24 {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0, MaxIdleConnsPerHost: 1}, Timeout: waitLimit}
+		wait.Go(func() {
+			defer client.CloseIdleConnections()
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				req, err := http.NewRequest("POST", "http://"+address+"/pay/1", strings.NewReader("x"))
+				assert.NoError(t, err)
+				req.Host = "app.example"
+				req.Header.Set("Hornbeamvale-Attempt-Id", fmt.Sprintf("%08x%08x", i, n))
+				req.Header.Set("Hornbeamvale-Credential", "key-p")
+				resp, err := client.Do(req)
+				switch {
+				case err == nil:
+					_, err = io.Copy(io.Discard, resp.Body)
+					assert.NoError(t, err)
+					_ = resp.Body.Close()
+					answered.Add(1)
+				case errors.Is(err, syscall.ECONNREFUSED):
+					return // the VM no longer accepts connections
+				case errors.Is(err, syscall.ECONNRESET) && len(fleet.runs(req.Header.Get("Hornbeamvale-Attempt-Id"))) == 0:
+					// The kernel resets connections that the process had not accepted yet when it
+					// closed its listener. Their requests were never read.
+					return
+				default:
+					cut.Add(1)
+					t.Logf("cut: %v", err)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	fleet.vms[0].stop()
+	require.NoError(t, <-fleet.vms[0].done)
+	fleet.vms[0].done <- nil
+	close(stopped)
+	wait.Wait()
+	require.Zero(t, cut.Load(), "of %d answered requests", answered.Load())
+	require.Greater(t, answered.Load(), int64(100))
+}
