--- a/cmd/hornbeamvaled/replica_fault_test.go
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -153,3 +153,17 @@
 	require.Zero(t, cut.Load(), "of %d answered requests", answered.Load())
 	require.Greater(t, answered.Load(), int64(100))
 }
+
+// TestSecondCopyOfARefusalPromisesNothing guards against a late second copy of a refusal
+// on a kept connection, which is taken for the response to the next request: that request
+// has run, so it must neither be reported as not run nor sent to another replica.
+func TestSecondCopyOfARefusalPromisesNothing(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	fleet.setBehaviour(fleet.tools, platformtest.Behaviour{SecondCopy: true})
+	for range 12 {
+		got := fleet.send(0, "POST", "/pay/1", []byte("sweep"))
+		require.NoError(t, got.err)
+		require.Len(t, fleet.runs(got.id), 1)
+		require.Contains(t, []int{200, 502}, got.status)
+	}
+}
