Log failed probes of the store, whole reads and the age of the configuration

Cause: the logs could not tell the three hypotheses of the late configuration apart: they showed that the path to the store had failed, not on which connection a probe failed, nor at which revision a table was read again.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -188,9 +188,7 @@
 	d := &fleetDaemon{
 		settings: s, log: log, replicas: connection.NewReplicaClient(), peers: peer.NewManager(s.VM, nil, server),
 	}
-	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress), d.storeProxies, func(state storepath.State) {
-		log.State("Store path state changed", "state", state)
-	})
+	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress), d.storeProxies, pathLog{log})
 	d.loop = fleet.NewLoop(fleet.Config{
 		Self:  fleet.Member{VM: s.VM, Address: s.PeerAddress.String()},
 		Store: d.store, Sources: platformversion.Sources(), Log: log,
@@ -228,6 +226,19 @@
 	return d, nil
 }
 
+// pathLog logs what happens on the path to the store. It implements storepath.Observer.
+type pathLog struct{ log *decisionlog.Log }
+
+// StateChanged implements storepath.Observer.
+func (l pathLog) StateChanged(s storepath.State) {
+	l.log.State("Store path state changed", "state", s)
+}
+
+// ProbeFailed implements storepath.Observer.
+func (l pathLog) ProbeFailed(after time.Duration, err error) {
+	l.log.State("Probe of the store failed", "after", after, "err", err)
+}
+
 func (d *fleetDaemon) maxBodyBytes() int {
 	if t := d.loop.Snapshot().Table; t != nil {
 		return t.Limits.MaxBodyBytes
--- a/cmd/hornbeamvaled/fleetmetrics.go
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/metric"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/request/relay"
 )
 
@@ -25,6 +26,9 @@
 	cpu := f.seconds("hornbeamvale_control_cpu", "CPU time of the control thread")
 	events := f.count("hornbeamvale_control_events", "Events applied by the control loop")
 	version := f.gauge("hornbeamvale_configuration_version", "Configuration version in force")
+	age, err := meter.Float64ObservableGauge("hornbeamvale_configuration_age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the store confirmed that the configuration in force is the newest"))
+	f.keepFirst(err)
 	replicas := f.gauge("hornbeamvale_replicas", "Replicas on the list")
 	members := f.gauge("hornbeamvale_seats", "VMs that share the customers' rates")
 	ready := f.gauge("hornbeamvale_ready", "1 if this VM takes traffic")
@@ -45,6 +49,7 @@
 		s, l := d.loop.Snapshot(), d.ledger.Counters()
 		if s.Table != nil {
 			o.ObserveInt64(version, int64(s.Table.Number))
+			o.ObserveFloat64(age, clock.Since(s.ConfirmedAt).Seconds())
 		}
 		o.ObserveFloat64(cpu, d.loop.CPUTime().Seconds())
 		o.ObserveInt64(events, d.loop.AppliedEvents())
@@ -62,7 +67,7 @@
 		o.ObserveInt64(proxiedCalls, d.store.ProxyCalls())
 		o.ObserveInt64(state, int64(d.store.State()))
 		return nil
-	}, cpu, events, version, replicas, members, ready, dropped, transactions, conflicts, reads, retries, homeCalls, homeFallbacks, dials, proxiedCalls, state)
+	}, cpu, events, version, age, replicas, members, ready, dropped, transactions, conflicts, reads, retries, homeCalls, homeFallbacks, dials, proxiedCalls, state)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -126,10 +126,23 @@
 	}
 	watcher{
 		name: "configuration", store: l.config.Store, table: l.config.Sources.Configuration.Table,
-		onFullRead: apply, onChanges: apply, noteError: l.noteStoreError, recentlyFailed: l.recentlyFailed,
+		onFullRead: func(ctx context.Context, p platform.Page) {
+			l.logFullRead("configuration", p)
+			apply(ctx, p)
+		},
+		onChanges: apply, noteError: l.noteStoreError, recentlyFailed: l.recentlyFailed,
 	}.run(ctx)
 }
 
+// logFullRead logs a read of a whole table.
+func (l *Loop) logFullRead(name string, p platform.Page) {
+	newest := uint64(0)
+	for _, row := range p.Rows {
+		newest = max(newest, row.Revision)
+	}
+	l.config.Log.State("Read whole table", "call", name, "rows", len(p.Rows), "revision", p.Revision, "newestRow", newest)
+}
+
 // configurationRead is the event that the configuration was read. table is the newest
 // version; nil if it has not changed.
 type configurationRead struct {
@@ -153,8 +166,11 @@
 	watcher{
 		name: "replicas", store: l.config.Store, table: l.config.Sources.ReplicaTable, noteError: l.noteStoreError,
 		batchDelay: replicaBatchDelay, recentlyFailed: l.recentlyFailed,
-		onFullRead: func(ctx context.Context, p platform.Page) { l.post(ctx, l.decodeRegistrations(p, true)) },
-		onChanges:  func(ctx context.Context, p platform.Page) { l.post(ctx, l.decodeRegistrations(p, false)) },
+		onFullRead: func(ctx context.Context, p platform.Page) {
+			l.logFullRead("replicas", p)
+			l.post(ctx, l.decodeRegistrations(p, true))
+		},
+		onChanges: func(ctx context.Context, p platform.Page) { l.post(ctx, l.decodeRegistrations(p, false)) },
 	}.run(ctx)
 }
 
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -106,12 +106,21 @@
 	errNoProxy  = errors.New("no other VM is known")
 )
 
+// Observer is told what happens on a path. Its methods are called by any goroutine and
+// must not block.
+type Observer interface {
+	// StateChanged reports each new state.
+	StateChanged(s State)
+	// ProbeFailed reports a probe of the direct path that failed after the given time.
+	ProbeFailed(after time.Duration, err error)
+}
+
 // Path is a platform.PartitionedStore that calls the store directly or through proxies. It
 // is safe for concurrent use.
 type Path struct {
 	direct   platform.PartitionedStore
 	proxies  func() []Proxy
-	onChange func(State)
+	observer Observer
 
 	state      atomic.Int32  // a State
 	failUntil  atomic.Int64  // calls fail immediately until then, as clock.Monotonic in nanoseconds
@@ -128,11 +137,10 @@
 
 var _ platform.PartitionedStore = (*Path)(nil)
 
-// New returns a path. proxies returns the other VMs. onChange is called with each new
-// state and must not block.
-func New(direct platform.PartitionedStore, proxies func() []Proxy, onChange func(State)) *Path {
+// New returns a path. proxies returns the other VMs.
+func New(direct platform.PartitionedStore, proxies func() []Proxy, observer Observer) *Path {
 	return &Path{
-		direct: direct, proxies: proxies, onChange: onChange, startProbe: make(chan struct{}, 1),
+		direct: direct, proxies: proxies, observer: observer, startProbe: make(chan struct{}, 1),
 		firstProxy: rand.IntN(maxFirstProxy), // spreads the first calls of the VMs over the proxies
 		failedAt:   map[string]time.Time{},
 	}
@@ -349,7 +357,7 @@
 	if !p.state.CompareAndSwap(int32(Direct), int32(ViaProxy)) {
 		return
 	}
-	p.onChange(ViaProxy)
+	p.observer.StateChanged(ViaProxy)
 	select {
 	case p.startProbe <- struct{}{}:
 	default:
@@ -365,7 +373,7 @@
 			return
 		}
 		if p.state.CompareAndSwap(current, int32(s)) {
-			p.onChange(s)
+			p.observer.StateChanged(s)
 			return
 		}
 	}
@@ -384,7 +392,7 @@
 			if p.probeDirect(ctx, query) {
 				p.failUntil.Store(0)
 				p.state.Store(int32(Direct))
-				p.onChange(Direct)
+				p.observer.StateChanged(Direct)
 				break
 			}
 			clock.Sleep(ctx, probeInterval)
@@ -395,6 +403,10 @@
 func (p *Path) probeDirect(ctx context.Context, query platform.RangeQuery) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	begun := clock.Now()
 	_, err := p.direct.Range(ctx, query)
+	if err != nil {
+		p.observer.ProbeFailed(clock.Since(begun), err)
+	}
 	return err == nil
 }
--- a/internal/process/storepath/storepath_test.go
+++ b/internal/process/storepath/storepath_test.go
@@ -41,6 +41,12 @@
 	return platform.Page{Revision: 1}, s.result()
 }
 
+// ignoreObserver is an Observer that ignores all reports.
+type ignoreObserver struct{}
+
+func (ignoreObserver) StateChanged(State)               {}
+func (ignoreObserver) ProbeFailed(time.Duration, error) {}
+
 var errUnavailable = &platform.Error{Kind: platform.NotApplied, Op: "call", Err: errors.New("status 503")}
 
 // pathProxy is a proxy that serves calls by the path of another VM, or fails if it is
@@ -68,7 +74,7 @@
 // newPath returns a path with the given proxies, and the store that it calls directly.
 func newPath(proxies ...Proxy) (*Path, *fakeStore) {
 	s := &fakeStore{}
-	return New(s, func() []Proxy { return proxies }, func(State) {}), s
+	return New(s, func() []Proxy { return proxies }, ignoreObserver{}), s
 }
 
 // TestCallSucceedsThroughAnyProxy guards against a VM that gives up although one of
@@ -187,9 +193,9 @@
 	shared.err.Store(&platform.Error{Kind: platform.Overloaded, Op: "call", Err: errors.New("status 429")})
 	var proxies []Proxy
 	for range 30 {
-		proxies = append(proxies, pathProxy{path: New(shared, func() []Proxy { return nil }, func(State) {})})
+		proxies = append(proxies, pathProxy{path: New(shared, func() []Proxy { return nil }, ignoreObserver{})})
 	}
-	p := New(shared, func() []Proxy { return proxies }, func(State) {})
+	p := New(shared, func() []Proxy { return proxies }, ignoreObserver{})
 	for range 5 {
 		_, err := p.Transact(t.Context(), platform.PartitionTx{})
 		require.Equal(t, platform.Overloaded, platform.KindOf(err))
--- a/internal/request/relay/admit.go
+++ b/internal/request/relay/admit.go
@@ -16,6 +16,7 @@
 		return refusal.New(refusal.NoConfiguration, "this VM has read no configuration yet").After(defaultRetryAfter)
 	}
 	age := now.Sub(s.ConfirmedAt)
+	x.configurationAge = age
 	if age > maxIsolatedConfigAge && x.Store.State() == storepath.Isolated {
 		return staleRefusal()
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -103,7 +103,10 @@
 	attempts int
 	tokens   int64  // received by the caller
 	outcome  string // how the request ended, for the metrics and the log
-	steps    stepTimes
+	// configurationAge is the time since the store confirmed the configuration, when the
+	// request was admitted or refused.
+	configurationAge time.Duration
+	steps            stepTimes
 }
 
 // stepTimes says where the time of a request went. A step that did not take place is 0.
@@ -256,7 +259,7 @@
 	x.Metrics.recordRequest(route, x.outcome, duration)
 	x.Log.Request("Request finished", "id", x.request.ID, "route", route, "endpoint", x.endpoint, "customer", customer,
 		"program", x.request.Program.ID, "parent", x.request.Program.Parent, "historyTurns", x.history.Len(),
-		"configurationVersion", configurationVersion, "replica", x.replica, "attempts", x.attempts, "tokens", x.tokens,
+		"configurationVersion", configurationVersion, "configurationAge", x.configurationAge, "replica", x.replica, "attempts", x.attempts, "tokens", x.tokens,
 		"outcome", x.outcome, "duration", duration, "rateWait", x.steps.rate, "prepare", x.steps.prepare, "place", x.steps.place,
 		"reply", x.steps.reply, "transfer", x.steps.transfer, "record", x.steps.record)
 }
