--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +22,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
 	"hornbeamvale.example/hornbeamvale/platform/platformtest"
+	"hornbeamvale.example/hornbeamvale/standin/fleet/connection"
 )
 
 // waitLimit limits the waits of these tests. It is far above their usual duration, so
@@ -40,10 +43,14 @@
 
 type testVM struct {
 	settings settings.FleetVM
-	stop     context.CancelFunc
-	done     chan error
+	// storeLink carries the connections of the VM to the store, whose source is linkSource.
+	storeLink *connection.Link
+	stop      context.CancelFunc
+	done      chan error
 }
 
+const linkSource = "vm"
+
 const testConfiguration = `{"version":%d,
 "routes":[
  {"name":"chat","host":"app.example","path_prefix":"/chat/","type":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":1,"service":"model","max_attempts":2,"keeps_history":true,"retention_s":60,"target_gap_ms":150},
@@ -87,7 +94,12 @@
 }
 
 func (fleet *testFleet) start(name string) {
-	s := settings.FleetVM{VM: name, DataCentre: "a", MemoryBytes: 200 << 20, StopTimeout: 3 * time.Second, StoreAddress: fleet.store.Address()}
+	link, err := connection.NewLink(fleet.store.Address().String(), linkSource)
+	require.NoError(fleet.t, err)
+	s := settings.FleetVM{
+		VM: name, DataCentre: "a", MemoryBytes: 200 << 20, StopTimeout: 3 * time.Second,
+		StoreAddress: netip.MustParseAddrPort(link.Address()),
+	}
 	// The listeners stay open from the choice of the port on. A port that is released and
 	// opened again can be taken by another test process in between.
 	for _, a := range []*netip.AddrPort{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress, &s.MetricsAddress} {
@@ -98,13 +110,14 @@
 	s.CallerAddress, s.ReadyAddress = listenAddress(listeners.callers), listenAddress(listeners.readiness)
 	s.PeerAddress, s.MetricsAddress = listenAddress(listeners.peers), listenAddress(listeners.metrics)
 	ctx, stop := context.WithCancel(context.Background())
-	vm := &testVM{settings: s, stop: stop, done: make(chan error, 1)}
+	vm := &testVM{settings: s, storeLink: link, stop: stop, done: make(chan error, 1)}
 	fleet.vms = append(fleet.vms, vm)
 	go func() { vm.done <- serveFleet(ctx, s, listeners, make(chan os.Signal)) }()
 	fleet.t.Cleanup(func() {
 		stop()
 		assert.NoError(fleet.t, <-vm.done, "daemon of %s", name)
 		vm.done <- nil
+		link.Close()
 	})
 }
 
@@ -391,10 +404,13 @@
 	return n
 }
 
+var configurationVersionMetric = regexp.MustCompile(`(?m)^hornbeamvale_configuration_version(?:\{[^}]*\})? (\d+)$`)
+
 // allAtVersion reports whether every VM has the configuration version in force.
 func (fleet *testFleet) allAtVersion(version int) bool {
 	for i := range fleet.vms {
-		if !strings.Contains(fleet.metrics(i), fmt.Sprintf("} %d\n", version)) {
+		inForce := configurationVersionMetric.FindStringSubmatch(fleet.metrics(i))
+		if len(inForce) == 0 || inForce[1] != strconv.Itoa(version) {
 			return false
 		}
 	}
--- a/standin/fleet/connection/link.go
+++ b/standin/fleet/connection/link.go
@@ -39,6 +39,7 @@
 	states  map[string]State
 	changed chan struct{}       // closed and replaced at each change
 	open    map[net.Conn]string // source of each open connection
+	silent  map[net.Conn]bool   // open connections whose bytes are dropped
 }
 
 // NewLink listens on a free loopback port and forwards to target. The source of a
@@ -52,7 +53,7 @@
 	}
 	l := &Link{
 		listener: listener, target: target, sources: sources, states: map[string]State{},
-		changed: make(chan struct{}), open: map[net.Conn]string{},
+		changed: make(chan struct{}), open: map[net.Conn]string{}, silent: map[net.Conn]bool{},
 	}
 	go l.serve()
 	return l, nil
@@ -77,6 +78,37 @@
 	}
 }
 
+// Silence drops all further bytes of the connections of a source that are open now, in
+// both directions and without a reset. New connections work.
+func (l *Link) Silence(source string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, from := range l.open {
+		if from == source {
+			l.silent[c] = true
+		}
+	}
+}
+
+func (l *Link) isSilent(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[c]
+}
+
+// Open returns the number of open connections of a source.
+func (l *Link) Open(source string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, from := range l.open {
+		if from == source {
+			n++
+		}
+	}
+	return n / 2 // a connection has an end at each side
+}
+
 // Close closes the listener and all connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -156,6 +188,7 @@
 	defer l.mu.Unlock()
 	for _, c := range conns {
 		delete(l.open, c)
+		delete(l.silent, c)
 	}
 }
 
@@ -166,7 +199,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 {
+		if n > 0 && !l.isSilent(from) {
 			if l.waitWhileStalled(source) != nil {
 				return
 			}
