Close connections to the store that fell silent together

Cause: a failed call closed only its own connection. Each further call and each probe of the store took another dead connection from the pool and waited for its time limit; a VM needed one probe, 0.9 s, for each idle connection. Reads of changes waited on their dead connections to the end, and those sent through other VMs for up to 2.25 s each. Class: connections to one peer share a fate, but evidence against one of them was not used against the others.

Change: conntrack dials connections and knows when each last received bytes. A call to the store whose answer is overdue closes the idle connections that have been silent since, and those that wait for an answer if no connection received anything. A read of changes waits 1 s at the store, and 0.5 s through another VM.

--- /dev/null
+++ b/internal/connection/conntrack/conntrack.go
@@ -0,0 +1,170 @@
+// Package conntrack dials TCP connections and keeps track of when each of them last
+// sent and received bytes. A network path can lose the state of its open connections
+// without a reset, so that they stay silent for good while new ones work. All
+// connections to a peer share that fate: one call without an answer is evidence against
+// each of them that has received nothing since.
+package conntrack
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
+)
+
+// SilenceThreshold is the shortest time that a call has to wait for an answer that is
+// due at once before it counts as evidence against connections. The slowest healthy
+// peers answer calls that do not wait in about a quarter of a second.
+const SilenceThreshold = 250 * time.Millisecond
+
+// Dialer dials TCP connections and tracks those that are open. It is safe for concurrent
+// use.
+type Dialer struct {
+	dialer net.Dialer
+	dials  atomic.Int64
+
+	mu   sync.Mutex
+	open map[string]map[*Conn]struct{} // by remote address
+}
+
+// NewDialer returns a dialer. timeout bounds the set-up of a connection. A connection is
+// closed by the kernel if sent bytes stay unacknowledged for userTimeout, which detects
+// peers that are gone without a reset.
+func NewDialer(timeout, userTimeout time.Duration) *Dialer {
+	return &Dialer{
+		dialer: net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, userTimeout)
+		}},
+		open: map[string]map[*Conn]struct{}{},
+	}
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	}); err != nil {
+		return err
+	}
+	return optionErr
+}
+
+// DialContext connects to an address, as net.Dialer does. The connection is a *Conn.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.dials.Add(1)
+	c := &Conn{Conn: nc, dialer: d, address: address}
+	c.received.Store(clock.Monotonic().Nanoseconds())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open[address] == nil {
+		d.open[address] = map[*Conn]struct{}{}
+	}
+	d.open[address][c] = struct{}{}
+	return c, nil
+}
+
+// Dials returns the number of connections that were established.
+func (d *Dialer) Dials() int64 { return d.dials.Load() }
+
+// Scope selects the connections that CloseSilent closes.
+type Scope uint8
+
+// The scopes of CloseSilent.
+const (
+	// IdleOnly spares connections that wait for an answer.
+	IdleOnly Scope = iota
+	// WaitingIfAllSilent includes connections that wait for an answer if no connection to
+	// the address has received anything.
+	WaitingIfAllSilent
+)
+
+// CloseSilent closes the connections to an address that have received nothing since the
+// given time, as clock.Monotonic. It returns their number.
+func (d *Dialer) CloseSilent(address string, since time.Duration, scope Scope) int {
+	d.mu.Lock()
+	allSilent := true
+	var idle, waiting []*Conn
+	for c := range d.open[address] {
+		switch {
+		case c.receivedSince(since):
+			allSilent = false
+		case c.waiting():
+			waiting = append(waiting, c)
+		default:
+			idle = append(idle, c)
+		}
+	}
+	d.mu.Unlock()
+	closing := idle
+	if allSilent && scope == WaitingIfAllSilent {
+		closing = append(closing, waiting...)
+	}
+	for _, c := range closing {
+		_ = c.Close()
+	}
+	return len(closing)
+}
+
+func (d *Dialer) remove(c *Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.open[c.address], c)
+	if len(d.open[c.address]) == 0 {
+		delete(d.open, c.address)
+	}
+}
+
+// Conn is a tracked connection.
+type Conn struct {
+	net.Conn
+	dialer  *Dialer
+	address string
+	written atomic.Int64 // bytes
+	// sent and received are the times of the last write and of the last read that returned
+	// bytes, as clock.Monotonic in nanoseconds.
+	sent, received atomic.Int64
+}
+
+// Written returns the number of bytes that were handed to the kernel, at least in part.
+func (c *Conn) Written() int64 { return c.written.Load() }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	// Counted before the write, because a failed write may have sent a part.
+	c.written.Add(int64(len(p)))
+	c.sent.Store(clock.Monotonic().Nanoseconds())
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Store(clock.Monotonic().Nanoseconds())
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.dialer.remove(c)
+	return c.Conn.Close()
+}
+
+// waiting reports whether nothing has been received since the last write.
+func (c *Conn) waiting() bool { return c.sent.Load() > c.received.Load() }
+
+func (c *Conn) receivedSince(since time.Duration) bool {
+	return c.received.Load() >= since.Nanoseconds()
+}
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// changeWait is how long a read of changes waits at the store for a change. A
-	// connection that has stopped transferring data is detected only when this wait and
-	// changeOverhead have passed. A change is then known 2.5 s later, and the limits on
-	// the time until a change takes effect hold again 3 s after such a fault.
-	changeWait = 2 * time.Second
+	// changeWait is how long a read of changes waits at the store for a change. Without
+	// other calls, a connection that has stopped transferring data is detected only when
+	// this wait and changeOverhead have passed. The limits on the time until a change
+	// takes effect hold again 3 s after such a fault.
+	changeWait = time.Second
 	// changeOverhead is the time that a read of changes may take in addition to its
 	// wait.
 	changeOverhead = 500 * time.Millisecond
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -25,6 +25,9 @@
 	// proxyTimeout bounds a call to another VM, in addition to the wait that the call
 	// itself asks for.
 	proxyTimeout = 250 * time.Millisecond
+	// maxProxyWait bounds how long a read of changes waits for a change at a proxy. The
+	// connection to the proxy may fall silent, and the direct path may be back meanwhile.
+	maxProxyWait = 500 * time.Millisecond
 	// proxyRetryDelay is how long a VM that has failed a call is not called again. In an
 	// outage each VM then calls each other VM once a second.
 	proxyRetryDelay = time.Second
@@ -247,6 +250,11 @@
 
 // callViaProxies calls one proxy after another until the call succeeds.
 func (p *Path) callViaProxies(ctx context.Context, c Call) (Reply, error) {
+	if c.Changes != nil {
+		q := *c.Changes
+		q.Wait = min(q.Wait, maxProxyWait)
+		c.Changes = &q
+	}
 	if clock.Monotonic().Nanoseconds() < p.failUntil.Load() {
 		return Reply{}, &platform.Error{Kind: platform.NotApplied, Op: "detour", Err: errFailFast}
 	}
