Replace a connection to another VM that fell silent

There is one connection to each VM, and only its keep-alive ended it, after 11 s; meanwhile loans, ledger calls and calls of the store through that VM all failed by their time limits.

The next call dials a new one.

--- a/internal/connection/peer/conn.go
+++ b/internal/connection/peer/conn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/connection/conntrack"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
 
@@ -46,6 +48,8 @@
 	// opening frame is queued. Stream numbers are thus written in increasing order,
 	// and a receiver can refuse a number that was used before.
 	opening chan struct{}
+	// received is when the last frame arrived, as clock.Monotonic in nanoseconds.
+	received atomic.Int64
 
 	mu         sync.Mutex
 	streams    map[uint64]*Stream // by number
@@ -65,6 +69,7 @@
 	if address != "" {
 		c.nextNumber = 1
 	}
+	c.received.Store(clock.Monotonic().Nanoseconds())
 	c.ctx, c.cancel = context.WithCancel(m.ctx)
 	return c
 }
@@ -221,6 +226,15 @@
 	return ok
 }
 
+// closeIfSilent closes the connection if it has received nothing since a call was sent
+// that has waited longer than an answer takes. The network path may have lost the
+// connection without a reset; the next call then uses a new one.
+func (c *conn) closeIfSilent(sent time.Duration) {
+	if clock.Monotonic()-sent >= conntrack.SilenceThreshold && c.received.Load() < sent.Nanoseconds() {
+		c.close()
+	}
+}
+
 // close closes the connection and ends its streams. It may be called repeatedly.
 func (c *conn) close() {
 	c.cancel()
--- a/internal/connection/peer/loop.go
+++ b/internal/connection/peer/loop.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 )
 
 // readLoop reads and dispatches frames until the connection ends. It never waits for
@@ -14,6 +16,7 @@
 		if err != nil {
 			return
 		}
+		c.received.Store(clock.Monotonic().Nanoseconds())
 		c.manager.received(f.Type, size)
 		if f.Type == GoAway {
 			c.handleGoAway()
--- a/internal/connection/peer/manager.go
+++ b/internal/connection/peer/manager.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
 
@@ -138,9 +139,11 @@
 	if err != nil {
 		return Message{}, err
 	}
+	sent := clock.Monotonic()
 	reply, err := s.Recv(ctx)
 	if err != nil {
 		s.Cancel()
+		s.conn.closeIfSilent(sent)
 		return Message{}, &Error{Run: refusal.Unknown, VM: vm, Err: err}
 	}
 	s.Close()
