--- a/internal/connection/conntrack/conntrack.go
+++ b/internal/connection/conntrack/conntrack.go
@@ -35,7 +35,7 @@
 
 // NewDialer returns a dialer. timeout bounds the set-up of a connection. A connection is
 // closed by the kernel if sent bytes stay unacknowledged for userTimeout, which detects
-// peers that are gone without a reset.
+// peers that are gone without a reset; 0 means the system's own limit of some minutes.
 func NewDialer(timeout, userTimeout time.Duration) *Dialer {
 	return &Dialer{
 		dialer: net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
@@ -136,12 +136,12 @@
 	sent, received atomic.Int64
 }
 
-// Written returns the number of bytes that were handed to the kernel, at least in part.
+// Written returns the number of bytes of all writes that have begun.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	// Counted before the write, because a failed write may have sent a part.
+	// A failed write may have sent a part.
 	c.written.Add(int64(len(p)))
 	c.sent.Store(clock.Monotonic().Nanoseconds())
 	return c.Conn.Write(p)
--- a/internal/connection/endpointhttp/client.go
+++ b/internal/connection/endpointhttp/client.go
@@ -9,14 +9,14 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/connection/conntrack"
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
 
@@ -24,6 +24,9 @@
 	// dialTimeout bounds the TCP connect. It is far above the network delay to replicas,
 	// which is a few milliseconds at most.
 	dialTimeout = 2 * time.Second
+	// silence is how long a request waits for the head of its response before its failure
+	// counts as evidence against the idle connections to the replica.
+	silence = 500 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept. It closes connections to
 	// replicas that no longer get requests.
 	idleTimeout = 30 * time.Second
@@ -38,20 +41,17 @@
 )
 
 // Client sends requests to replicas. It is safe for concurrent use.
-type Client struct{ transport *http.Transport }
+type Client struct {
+	transport *http.Transport
+	dialer    *conntrack.Dialer
+}
 
 // New returns a client with its own connection pool.
 func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		Proxy: nil,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: conn}, nil
-		},
+	dialer := conntrack.NewDialer(dialTimeout, 0)
+	return &Client{dialer: dialer, transport: &http.Transport{
+		Proxy:               nil,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idlePerReplica,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -61,37 +61,25 @@
 // Close closes the connections that no request uses.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// countingConn counts the bytes of all writes that have begun.
-type countingConn struct {
-	net.Conn
-	begun atomic.Int64
-}
-
-// Write counts before it writes. A count that is read after Close is thus final, since a
-// write that begins later fails.
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.begun.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 // attempt records the connections that the transport used for one request.
 type attempt struct {
 	mu     sync.Mutex
-	conns  []*countingConn
+	conns  []*conntrack.Conn
 	before []int64 // count of each connection before the request
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if conn, ok := info.Conn.(*countingConn); ok {
+	if conn, ok := info.Conn.(*conntrack.Conn); ok {
 		a.conns = append(a.conns, conn)
-		a.before = append(a.before, conn.begun.Load())
+		a.before = append(a.before, conn.Written())
 	}
 }
 
 // runState closes the connections of a failed request and returns NotRun if no byte was
-// written to them. WroteHeaders of httptrace reports too late for this: it is called
+// written to them. The count is final after Close, since it is raised before a write and
+// a write that begins later fails. WroteHeaders of httptrace reports too late for this: it is called
 // when the headers are in the buffer, part of which may have been flushed before.
 func (a *attempt) runState() refusal.RunState {
 	a.mu.Lock()
@@ -99,7 +87,7 @@
 	run := refusal.NotRun
 	for i, conn := range a.conns {
 		_ = conn.Close()
-		if conn.begun.Load() != a.before[i] {
+		if conn.Written() != a.before[i] {
 			run = refusal.Unknown
 		}
 	}
@@ -125,8 +113,12 @@
 	req.Header = header
 	req.Body = unrewindableBody{bytes.NewReader(body)}
 	req.ContentLength = int64(len(body))
+	sent := clock.Monotonic()
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
+		if clock.Monotonic()-sent >= silence {
+			c.dialer.CloseSilent(u.Host, sent, conntrack.IdleOnly)
+		}
 		return nil, &Error{Run: a.runState(), Replica: u.Host, Err: err}
 	}
 	return resp, nil
