Drop idle connections to the platform after a call without an answer

Change: a call that reached its time limit closes the idle connections.

Measured: platform's TestConnectionsThatFallSilentAreReplacedAtOnce fails before and passes now.

--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -215,6 +215,11 @@
 		return nil, &Error{Kind: NotApplied, Op: q.op, Err: err}
 	}
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// The path may have lost all open connections without a reset. The idle ones
+			// would each cost a call its time.
+			c.http.CloseIdleConnections()
+		}
 		return nil, q.callError(err)
 	}
 	defer response.Body.Close()
