Read the limits that replicas name in their answers, and log them

Cause: the code did not read the header, so no log or metric could show whether a limit was unknown, late or exceeded by the VMs together.

Change: the client of replicas decodes the limit with the head of each answer, and the control thread gets it at that moment, not at the end of the request. An answer without a limit ends it only if its request was sent after the last answer that named one. A log line and a metric show it. Placement does not use it yet.

--- a/cmd/hornbeamvaled/fleetmetrics.go
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -30,6 +30,7 @@
 		metric.WithDescription("Time since the store confirmed that the configuration in force is the newest"))
 	f.keepFirst(err)
 	replicas := f.gauge("hornbeamvale_replicas", "Replicas on the list")
+	limited := f.gauge("hornbeamvale_replicas_limited", "Replicas that name a limit of their requests")
 	members := f.gauge("hornbeamvale_seats", "VMs that share the customers' rates")
 	ready := f.gauge("hornbeamvale_ready", "1 if this VM takes traffic")
 	dropped := f.count("hornbeamvale_log_entries_dropped", "Log lines dropped because too many waited")
@@ -54,6 +55,7 @@
 		o.ObserveFloat64(cpu, d.loop.CPUTime().Seconds())
 		o.ObserveInt64(events, d.loop.AppliedEvents())
 		o.ObserveInt64(replicas, int64(s.ReplicaCount))
+		o.ObserveInt64(limited, int64(s.LimitedReplicas))
 		o.ObserveInt64(members, int64(len(s.Members)))
 		o.ObserveInt64(ready, boolMetric(d.ready() == nil))
 		o.ObserveInt64(dropped, d.log.Dropped())
@@ -67,7 +69,7 @@
 		o.ObserveInt64(proxiedCalls, d.store.ProxyCalls())
 		o.ObserveInt64(state, int64(d.store.State()))
 		return nil
-	}, cpu, events, version, age, replicas, members, ready, dropped, transactions, conflicts, reads, retries, homeCalls, homeFallbacks, dials, proxiedCalls, state)
+	}, cpu, events, version, age, replicas, limited, members, ready, dropped, transactions, conflicts, reads, retries, homeCalls, homeFallbacks, dials, proxiedCalls, state)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/connection/call/forward.go
+++ b/internal/connection/call/forward.go
@@ -89,6 +89,9 @@
 	NotRun, Misdirected bool
 	// Load is the replica's load report; nil if the answer has none.
 	Load *replica.Load
+	// Limit is the rate, in requests/s from all VMs together, that the replica asks not to
+	// be exceeded; nil if it names none.
+	Limit *float64
 }
 
 // ReplicaError is the failure of a request to a replica without an answer.
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -83,6 +83,8 @@
 	SharesUsable bool
 	// ReplicaCount is the number of listed replicas.
 	ReplicaCount int
+	// LimitedReplicas is the number of replicas that name a limit of their requests.
+	LimitedReplicas int
 }
 
 // Reasons why a VM takes no traffic.
@@ -145,8 +147,9 @@
 	confirmed    time.Time // when the store last confirmed that table is the newest version
 	draining     bool
 	replicas     *replica.Registry
-	serviceTimes map[string]*serviceTime // by kind of request
-	rates        map[string]*rateShare   // by customer
+	serviceTimes map[string]*serviceTime  // by kind of request
+	rates        map[string]*rateShare    // by customer
+	limits       map[string]*replicaLimit // by replica
 	members      memberView
 	unpublished  bool // the state has changed since the last snapshot
 	// startSearch starts a search for a token at now, which ends with a loanEnded event.
@@ -156,7 +159,7 @@
 func newState(c Config, l *Loop) *State {
 	return &State{
 		config: c, loop: l, replicas: replica.NewRegistry(c.Self.VM),
-		serviceTimes: map[string]*serviceTime{}, rates: map[string]*rateShare{},
+		serviceTimes: map[string]*serviceTime{}, rates: map[string]*rateShare{}, limits: map[string]*replicaLimit{},
 		members: newMemberView(c.Self), unpublished: true,
 		startSearch: func(_ time.Time, search func(context.Context) loanEnded) {
 			l.start(func(ctx context.Context) { l.post(ctx, search(ctx)) })
@@ -182,7 +185,7 @@
 	s.unpublished = false
 	s.loop.snapshot.Store(&Snapshot{
 		Table: s.table, ConfirmedAt: s.confirmed, Draining: s.draining,
-		Members: s.members.all(), SharesUsable: s.members.usable, ReplicaCount: s.replicas.Count(),
+		Members: s.members.all(), SharesUsable: s.members.usable, ReplicaCount: s.replicas.Count(), LimitedReplicas: len(s.limits),
 	})
 }
 
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -204,6 +204,9 @@
 	}
 	a.reply = reply
 	a.end.Load, a.end.Misdirected = reply.Load, reply.Misdirected
+	if reply.MatchesRequest && (reply.Limit != nil || x.Loop.Snapshot().LimitedReplicas > 0) {
+		_ = x.Loop.Post(context.WithoutCancel(x.ctx), fleet.ReplicaAnswered{Replica: a.replica.Replica, SentAt: a.startedAt, Limit: reply.Limit})
+	}
 	switch {
 	case !reply.MatchesRequest:
 		err = errWrongRequest
