--- a/cmd/hornbeamvaled/replica_fault_test.go
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -167,3 +167,41 @@
 		require.Contains(t, []int{200, 502}, got.status)
 	}
 }
+
+// TestNamedLimitOfAReplicaHoldsAcrossVMs guards against a replica that gets more requests
+// from all VMs together than the limit that it names in its answers, and against requests
+// that are refused although another replica takes them.
+func TestNamedLimitOfAReplicaHoldsAcrossVMs(t *testing.T) {
+	const (
+		limit    = 3.0
+		window   = 4 * time.Second
+		learning = 500 * time.Millisecond // after the first answer that names the limit
+		allowed  = 1.5*limit*4 + 5
+	)
+	fleet := newTestFleet(t, 4)
+	before := len(fleet.tools[0].Runs())
+	fleet.tools[0].SetBehaviour(platformtest.Behaviour{Limit: limit})
+	var wait sync.WaitGroup
+	begun := time.Now()
+	for i := 0; time.Since(begun) < contactTime+2*window; i++ {
+		wait.Go(func() {
+			assert.Equal(t, 200, fleet.send(i%len(fleet.vms), "GET", "/read/1", nil).status)
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	wait.Wait()
+	runs := fleet.tools[0].Runs()[before:]
+	require.NotEmpty(t, runs)
+	told := runs[0].At.Add(learning)
+	for i, first := range runs {
+		if first.At.Before(told) {
+			continue
+		}
+		n := 0
+		for n < len(runs)-i && runs[i+n].At.Sub(first.At) < window {
+			n++
+		}
+		require.LessOrEqual(t, float64(n), allowed, "requests in the 4 s after %s", first.At.Sub(begun))
+	}
+	require.GreaterOrEqual(t, len(runs), int(limit*2*window.Seconds()/2), "the limit is hardly used")
+}
