Send nothing more to a replica that says in an answer that it is leaving

Only the store's list was read, which may lag or still say "ready"; a VM that had passed on such an answer went on sending to it.

Change: the header is read with the head of each answer, and the control thread takes the replica out of placement at that moment. It stays so until the replica registers with another start, also if its row disappears and comes back.

--- a/cmd/hornbeamvaled/replica_fault_test.go
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -170,6 +170,28 @@
 	}
 }
 
+// TestReplicaThatSaysThatItLeavesGetsNoWork guards against requests to a replica that has
+// said in an answer that it is leaving, although the store still lists it as ready, and
+// after its row was written again.
+func TestReplicaThatSaysThatItLeavesGetsNoWork(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	fleet.tools[0].SetBehaviour(platformtest.Behaviour{Leaving: true})
+	before := len(fleet.tools[0].Runs())
+	fleet.eventually(func() bool {
+		require.Equal(t, 200, fleet.send(0, "GET", "/read/1", nil).status)
+		return len(fleet.tools[0].Runs()) > before
+	})
+	told := len(fleet.tools[0].Runs())
+	for i := range 60 {
+		if i == 20 {
+			fleet.store.Put("servers", "t0", fleet.tools[0].Registration("tools", "ready"))
+		}
+		require.Equal(t, 200, fleet.send(0, "GET", "/read/1", nil).status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Equal(t, told, len(fleet.tools[0].Runs()))
+}
+
 // TestNamedLimitOfAReplicaHoldsAcrossVMs guards against a replica that gets more requests
 // from all VMs together than the limit that it names in its answers, and against requests
 // that are refused although another replica takes them.
--- a/internal/connection/call/forward.go
+++ b/internal/connection/call/forward.go
@@ -89,6 +89,8 @@
 	NotRun, Misdirected bool
 	// Load is the replica's load report; nil if the answer has none.
 	Load *replica.Load
+	// Leaving says that the replica takes no new work.
+	Leaving bool
 	// Limit is the rate, in requests/s from all VMs together, that the replica asks not to
 	// be exceeded; nil if it names none.
 	Limit *float64
--- a/internal/process/fleet/replicalimits.go
+++ b/internal/process/fleet/replicalimits.go
@@ -63,19 +63,10 @@
 	Age time.Duration `msgpack:"a"`
 }
 
-// ReplicaAnswered is the event that the head of a replica's answer has arrived.
-type ReplicaAnswered struct {
-	Replica string
-	// SentAt is when the request was sent.
-	SentAt time.Time
-	// Limit is the limit that the answer names, in requests/s; nil if it names none.
-	Limit *float64
-}
-
-// Apply implements Event. An answer without a limit ends it only if its request was sent
-// after the last answer that named one, since answers on several connections may overtake
-// each other.
-func (e ReplicaAnswered) Apply(s *State, now time.Time) {
+// noteLimit applies what an answer says about the limit of its replica. An answer without
+// a limit ends it only if its request was sent after the last answer that named one, since
+// answers on several connections may overtake each other.
+func (s *State) noteLimit(now time.Time, e ReplicaAnswered) {
 	if e.Limit != nil {
 		l := s.observeLimit(now, e.Replica, *e.Limit, now)
 		l.direct = true
--- a/internal/process/replica/registry.go
+++ b/internal/process/replica/registry.go
@@ -23,6 +23,9 @@
 	// slownessHalfLife is the half-life of the slowness above 1 without a new
 	// observation, so that a replica that was slow gets requests again.
 	slownessHalfLife = 4 * time.Second
+	// leavingMemory is how long a replica that said that it is leaving is remembered while
+	// it is not listed.
+	leavingMemory = 5 * time.Minute
 	// connectionIdleTimeout is how long an idle connection counts as open; the client
 	// keeps it for 9 s.
 	connectionIdleTimeout = 8500 * time.Millisecond
@@ -61,13 +64,22 @@
 type Registry struct {
 	vm      string
 	entries map[string]*registeredReplica
+	// leaving holds the replicas that said in an answer that they are leaving. It outlives
+	// their entries, which may be missing from the list for a while.
+	leaving map[string]leavingMark
 	// serviceTimes is the smoothed time that a request takes, in seconds, by endpoint.
 	serviceTimes map[string]float64
 }
 
+// leavingMark says which start of a replica is leaving.
+type leavingMark struct {
+	startedMS int64
+	at        time.Time
+}
+
 // NewRegistry returns the registry of the named VM.
 func NewRegistry(vm string) *Registry {
-	return &Registry{vm: vm, entries: map[string]*registeredReplica{}, serviceTimes: map[string]float64{}}
+	return &Registry{vm: vm, entries: map[string]*registeredReplica{}, leaving: map[string]leavingMark{}, serviceTimes: map[string]float64{}}
 }
 
 // Register adds or updates a replica. The state of a replica that has restarted, or
@@ -79,6 +91,27 @@
 		r.entries[reg.ID] = e
 	}
 	e.Registration, e.removeAt = reg, time.Time{}
+	if mark, ok := r.leaving[reg.ID]; ok {
+		if mark.startedMS == reg.StartedMS {
+			e.Leaving = true
+		} else {
+			delete(r.leaving, reg.ID)
+		}
+	}
+}
+
+// MarkLeaving records that a replica said in an answer that it is leaving. It stays so
+// until it registers with another start, whatever its registration says. MarkLeaving
+// reports whether this is new.
+func (r *Registry) MarkLeaving(now time.Time, id string) bool {
+	e := r.entries[id]
+	if e == nil {
+		return false
+	}
+	_, known := r.leaving[id]
+	r.leaving[id] = leavingMark{startedMS: e.StartedMS, at: now}
+	e.Leaving = true
+	return !known
 }
 
 // Remove removes a replica, at once if at is zero, else at that time unless it is
@@ -112,6 +145,11 @@
 // Expire removes the replicas whose removal is due, and returns when the next one is
 // due; zero if none is.
 func (r *Registry) Expire(now time.Time) (next time.Time) {
+	for id, mark := range r.leaving {
+		if r.entries[id] == nil && now.Sub(mark.at) > leavingMemory {
+			delete(r.leaving, id)
+		}
+	}
 	for id, e := range r.entries {
 		if e.removeAt.IsZero() {
 			continue
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -231,8 +231,10 @@
 	}
 	a.reply = reply
 	a.end.Load, a.end.Misdirected = reply.Load, reply.Misdirected
-	if reply.MatchesRequest && (reply.Limit != nil || x.Loop.Snapshot().LimitedReplicas > 0) {
-		_ = x.Loop.Post(context.WithoutCancel(x.ctx), fleet.ReplicaAnswered{Replica: a.replica.Replica, SentAt: a.startedAt, Limit: reply.Limit})
+	if reply.MatchesRequest && (reply.Leaving || reply.Limit != nil || x.Loop.Snapshot().LimitedReplicas > 0) {
+		_ = x.Loop.Post(context.WithoutCancel(x.ctx), fleet.ReplicaAnswered{
+			Replica: a.replica.Replica, SentAt: a.startedAt, Limit: reply.Limit, Leaving: reply.Leaving,
+		})
 	}
 	switch {
 	case !reply.MatchesRequest:
