Test earlier refusals and cut heads of replicas' answers

Neither can happen here: an answer has to echo the id of its own request, and a head without its end is no answer.

--- a/cmd/hornbeamvaled/replica_fault_test.go
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -170,6 +170,45 @@
 	}
 }
 
+// TestEarlierRefusalPromisesNothing guards against a replica that writes the refusal of an
+// earlier request, with its id, once more on a kept connection: the next request has run,
+// so it must neither be reported as not run nor sent to another replica.
+func TestEarlierRefusalPromisesNothing(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	fleet.setBehaviour(fleet.tools, platformtest.Behaviour{EarlierRefusal: true})
+	ran := 0
+	for range 30 {
+		got := fleet.send(0, "POST", "/pay/1", []byte("sweep"))
+		require.NoError(t, got.err)
+		runs := len(fleet.runs(got.id))
+		require.LessOrEqual(t, runs, 1)
+		if ran += runs; runs > 0 {
+			require.Equal(t, 502, got.status)
+		}
+	}
+	require.Positive(t, ran)
+}
+
+// TestCutHeadIsNoAnswer guards against a 200 with an empty or short body when a replica
+// stopped in the middle of the head of its answer and closed the connection.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	for _, part := range []string{"X", "X-Line: 1", "Content-Length: 5", "Content-Length: 5\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", "Content-Type: text/event-stream\r\n", "\r"} {
+		fleet.setBehaviour(fleet.tools, platformtest.Behaviour{CutHead: part})
+		fleet.setBehaviour(fleet.model, platformtest.Behaviour{CutHead: part})
+		for _, got := range []reply{
+			fleet.send(0, "POST", "/pay/1", []byte("sweep")), fleet.send(0, "GET", "/read/1", nil),
+			fleet.send(0, "POST", "/triage/1", []byte("x")), fleet.turn(0, "p", "", "one "),
+		} {
+			require.NoError(t, got.err)
+			require.Contains(t, []int{502, 503}, got.status, "after %q", part)
+			if len(fleet.runs(got.id)) > 0 {
+				require.Equal(t, 502, got.status, "after %q", part)
+			}
+		}
+	}
+}
+
 // TestReplicaThatSaysThatItLeavesGetsNoWork guards against requests to a replica that has
 // said in an answer that it is leaving, although the store still lists it as ready, and
 // after its row was written again.
