--- a/standin/fleet/connection/link.go
+++ b/standin/fleet/connection/link.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // State determines how a link treats the traffic of one source.
@@ -20,6 +21,10 @@
 	// Stalled keeps connections open and forwards nothing, like a network that drops
 	// every packet.
 	Stalled State = "stalled"
+	// Held keeps back what the source sends, and delivers it later: also after the source
+	// has closed the connection, but not after it has reset it. The sender's kernel treats
+	// bytes that are not acknowledged in this way.
+	Held State = "held"
 )
 
 // identifyBytes limits the first read of a connection, in which the source's name is
@@ -145,7 +150,7 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { l.copy(source, to, from) })
+	wg.Go(func() { l.copyFromSource(source, to, from) })
 	wg.Go(func() { l.copy(source, from, to) })
 	wg.Wait()
 }
@@ -213,6 +218,64 @@
 	}
 }
 
+// copyFromSource forwards what the source sends, as copy does. It keeps reading while the
+// source is held, to notice a reset.
+func (l *Link) copyFromSource(source string, to, from net.Conn) {
+	read := make(chan []byte)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			buffer := make([]byte, 32<<10)
+			n, err := from.Read(buffer)
+			if n > 0 && !l.isSilent(from) {
+				read <- buffer[:n]
+			}
+			if err != nil {
+				ended <- err
+				close(read)
+				return
+			}
+		}
+	}()
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+		for range read { // ends the reader
+			continue
+		}
+	}()
+	var held []byte
+	closed := false // in order, so that what is held is still delivered
+	for input := read; ; {
+		l.mu.Lock()
+		holds, changed := l.states[source] == Held, l.changed
+		l.mu.Unlock()
+		if !holds && len(held) > 0 {
+			if l.waitWhileStalled(source) != nil {
+				return
+			}
+			if _, err := to.Write(held); err != nil {
+				return
+			}
+			held = nil
+		}
+		if closed && len(held) == 0 {
+			return
+		}
+		select {
+		case data, ok := <-input:
+			held = append(held, data...)
+			if !ok {
+				if errors.Is(<-ended, syscall.ECONNRESET) {
+					return
+				}
+				input, closed = nil, true
+			}
+		case <-changed:
+		}
+	}
+}
+
 // waitWhileStalled blocks while the source is stalled. It returns an error if the source
 // is cut.
 func (l *Link) waitWhileStalled(source string) error {
