Reset the connection of an abandoned request, so that its bytes end with it

Cause: an abandoned request closed its connection in the ordinary way. The kernel goes on delivering what it holds, and its own limit for unacknowledged bytes, 2 s, was as long as the drain time. Class: bytes that were handed over outlive the decision that they came from; it held for replicas, the store and other VMs.

Change: conntrack resets a connection that is closed while it waits for an answer; peer resets one that a call has found silent. The limit for unacknowledged bytes is three quarters of the drain time of the settings.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -59,6 +59,11 @@
 	// abortFraction is the fraction of the stop timeout after which running requests are
 	// aborted, so that the process exits before the platform kills it.
 	abortFraction = 0.93
+	// undeliveredFraction is the fraction of the drain time after which a connection is
+	// closed whose sent bytes are not acknowledged. A request that a broken link holds back
+	// thus arrives before the drain time of a replica that began to leave meanwhile has
+	// passed, or not at all.
+	undeliveredFraction = 0.75
 	// headerTimeout limits the time to read the headers of a request.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes idle connections of callers. It exceeds the callers' own idle
@@ -185,10 +190,11 @@
 func newFleetDaemon(running context.Context, s settings.FleetVM) (*fleetDaemon, error) {
 	log := decisionlog.New(nil)
 	server := &fleetrpc.Server{}
+	userTimeout := time.Duration(undeliveredFraction * float64(s.DrainTime))
 	d := &fleetDaemon{
-		settings: s, log: log, replicas: connection.NewReplicaClient(), peers: peer.NewManager(s.VM, nil, server),
+		settings: s, log: log, replicas: connection.NewReplicaClient(userTimeout), peers: peer.NewManager(s.VM, nil, server),
 	}
-	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress), d.storeProxies, pathLog{log})
+	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress, userTimeout), d.storeProxies, pathLog{log})
 	d.loop = fleet.NewLoop(fleet.Config{
 		Self:  fleet.Member{VM: s.VM, Address: s.PeerAddress.String()},
 		Store: d.store, Sources: platformversion.Sources(), Log: log,
--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -97,7 +97,7 @@
 	link, err := connection.NewLink(fleet.store.Address().String(), linkSource)
 	require.NoError(fleet.t, err)
 	s := settings.FleetVM{
-		VM: name, DataCentre: "a", MemoryBytes: 200 << 20, StopTimeout: 3 * time.Second,
+		VM: name, DataCentre: "a", MemoryBytes: 200 << 20, StopTimeout: 3 * time.Second, DrainTime: 2 * time.Second,
 		StoreAddress: netip.MustParseAddrPort(link.Address()),
 	}
 	// The listeners stay open from the choice of the port on. A port that is released and
--- a/internal/connection/conntrack/conntrack.go
+++ b/internal/connection/conntrack/conntrack.go
@@ -1,5 +1,6 @@
 // Package conntrack dials TCP connections and keeps track of when each of them last
-// sent and received bytes. A network path can lose the state of its open connections
+// sent and received bytes. What was sent for a request ends with the request: closing a
+// connection that waits for an answer resets it. A network path can lose the state of its open connections
 // without a reset, so that they stay silent for good while new ones work. All
 // connections to a peer share that fate: one call without an answer is evidence against
 // each of them that has received nothing since.
@@ -7,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -33,9 +35,10 @@
 	open map[string]map[*Conn]struct{} // by remote address
 }
 
-// NewDialer returns a dialer. timeout bounds the set-up of a connection. A connection is
-// closed by the kernel if sent bytes stay unacknowledged for userTimeout, which detects
-// peers that are gone without a reset; 0 means the system's own limit of some minutes.
+// NewDialer returns a dialer. timeout bounds the set-up of a connection. The kernel closes
+// a connection whose sent bytes stay unacknowledged for userTimeout, and drops them; 0
+// means the system's own limit of some minutes. This detects peers that are gone without a
+// reset, and bounds how long after a decision its bytes may still arrive.
 func NewDialer(timeout, userTimeout time.Duration) *Dialer {
 	return &Dialer{
 		dialer: net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
@@ -156,12 +159,30 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that waits for an answer is reset: the kernel
+// would otherwise deliver what it still holds of the request, long after its caller has
+// given up.
 func (c *Conn) Close() error {
 	c.dialer.remove(c)
+	if c.waiting() {
+		return Abort(c.Conn)
+	}
 	return c.Conn.Close()
 }
 
+// Abort closes a connection without delivering what the kernel has not sent yet. The other
+// side sees a reset.
+func Abort(c net.Conn) error {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // of TLS
+		c = wrapped.NetConn()
+	}
+	var err error
+	if tcp, ok := c.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	return errors.Join(err, c.Close())
+}
+
 // waiting reports whether nothing has been received since the last write.
 func (c *Conn) waiting() bool { return c.sent.Load() > c.received.Load() }
 
--- a/internal/connection/peer/conn.go
+++ b/internal/connection/peer/conn.go
@@ -231,10 +231,17 @@
 // connection without a reset; the next call then uses a new one.
 func (c *conn) closeIfSilent(sent time.Duration) {
 	if clock.Monotonic()-sent >= conntrack.SilenceThreshold && c.received.Load() < sent.Nanoseconds() {
-		c.close()
+		c.abort()
 	}
 }
 
+// abort closes the connection without delivering what the kernel has not sent yet. It
+// closes nc before the loops notice, since they close it in the ordinary way.
+func (c *conn) abort() {
+	_ = conntrack.Abort(c.nc)
+	c.close()
+}
+
 // close closes the connection and ends its streams. It may be called repeatedly.
 func (c *conn) close() {
 	c.cancel()
--- a/internal/connection/peer/silent_test.go
+++ b/internal/connection/peer/silent_test.go
@@ -60,6 +60,7 @@
 	}, 10*time.Second, time.Millisecond)
 	link.SetState("a", connection.Held)
 	require.Error(t, call("abandoned"))
+	time.Sleep(100 * time.Millisecond) // until the link has noticed the end of the connection
 	link.SetState("a", connection.Healthy)
 	require.NoError(t, call("next"))
 	require.Equal(t, "next", <-served)
--- a/internal/process/ledger/commit_test.go
+++ b/internal/process/ledger/commit_test.go
@@ -67,7 +67,7 @@
 // TestChangesShareTransactions guards against one transaction per change, which exceeds
 // the store's rate under load, and against a transaction across partitions.
 func TestChangesShareTransactions(t *testing.T) {
-	store := &recordingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address())}
+	store := &recordingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address(), 0)}
 	o := options
 	o.Rate = func() float64 { return 20 }
 	require.Zero(t, openAll(t, ledger.New(t.Context(), store, o), 80, 5*time.Second))
@@ -82,7 +82,7 @@
 // TestLargeChangesDoNotShare guards against a transaction that exceeds the size limit
 // of the store.
 func TestLargeChangesDoNotShare(t *testing.T) {
-	store := &recordingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address())}
+	store := &recordingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address(), 0)}
 	o := options
 	o.Rate = func() float64 { return 10 }
 	l := ledger.New(t.Context(), store, o)
@@ -112,7 +112,7 @@
 	store := platformtest.NewStore(t)
 	o := options
 	o.Rate = func() float64 { return 20 }
-	a := ledger.New(t.Context(), connection.NewStoreClient(store.Address()), o)
+	a := ledger.New(t.Context(), connection.NewStoreClient(store.Address(), 0), o)
 	for i := range 4 {
 		runTurn(t, a, fmt.Sprint("p", i), "", fmt.Sprint("a", i), "x")
 		runTurn(t, vm(t, store), fmt.Sprint("p", i), fmt.Sprint("a", i), fmt.Sprint("b", i), "y")
@@ -124,7 +124,7 @@
 // TestRateRejectionsReduceTheRate guards against a VM whose retries keep the store
 // above its rate.
 func TestRateRejectionsReduceTheRate(t *testing.T) {
-	store := &recordingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address())}
+	store := &recordingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address(), 0)}
 	store.reject.Store(true)
 	o := options
 	o.Rate = func() float64 { return 200 }
--- a/internal/process/ledger/expiry_test.go
+++ b/internal/process/ledger/expiry_test.go
@@ -19,7 +19,7 @@
 	store := platformtest.NewStore(t)
 	now := time.Unix(1_000_000, 0)
 	newLedger := func() *Ledger {
-		l := New(t.Context(), connection.NewStoreClient(store.Address()), Options{CacheBytes: 1 << 20, Rate: func() float64 { return 0 }})
+		l := New(t.Context(), connection.NewStoreClient(store.Address(), 0), Options{CacheBytes: 1 << 20, Rate: func() float64 { return 0 }})
 		l.now = func() time.Time { return now }
 		return l
 	}
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -27,7 +27,7 @@
 func vm(t *testing.T, s *platformtest.Store) *ledger.Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	return ledger.New(ctx, connection.NewStoreClient(s.Address()), options)
+	return ledger.New(ctx, connection.NewStoreClient(s.Address(), 0), options)
 }
 
 func group(program string) turntree.Group { return turntree.GroupOf(customer, program) }
@@ -194,7 +194,7 @@
 // seconds after its retry and undoes it.
 func TestLateTransactionChangesNothing(t *testing.T) {
 	store := platformtest.NewStore(t)
-	direct := connection.NewStoreClient(store.Address())
+	direct := connection.NewStoreClient(store.Address(), 0)
 	s := &delayedStore{PartitionedStore: direct}
 	l := ledger.New(t.Context(), s, options)
 	r := ledger.OpenRequest{Group: group("p"), Customer: customer, Turn: "1", MaxTokens: 60, Budget: 100}
--- a/internal/process/settings/fleetvm.go
+++ b/internal/process/settings/fleetvm.go
@@ -22,6 +22,8 @@
 	StoreWritesPerSecond int
 	// MemoryBytes is the memory use above which the platform kills the process.
 	MemoryBytes int64
+	// DrainTime is how long after a replica began to leave it must get no more requests.
+	DrainTime time.Duration
 	// StopTimeout is the time from the stop signal until the platform kills the process.
 	StopTimeout time.Duration
 }
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,10 @@
 	rateWindow    = 5 * time.Second
 	rateTolerance = 1.1
 	rateSlack     = 20
+	// callerTimeout is how long a caller waits for an answer, as it says in each request. A
+	// request may run up to deliverySlack later, while its end is on the way.
+	callerTimeout = 3 * time.Second
+	deliverySlack = 500 * time.Millisecond
 )
 
 // answer is what a caller received for one request.
@@ -121,6 +126,11 @@
 
 // checkRuns compares the answer to a request with the runs of that request.
 func (ck *checker) checkRuns(a *answer, runs []platformtest.Run) {
+	for _, run := range runs {
+		if late := run.At.Sub(a.sent) - callerTimeout; late > deliverySlack && !ck.pausedBetween(a.vm, a.sent, run.At) {
+			ck.reportAnswer(a, "ran %v after its caller's time limit", late)
+		}
+	}
 	if a.path != "/read/" && len(runs) > 1 {
 		ck.reportAnswer(a, "ran %d times", len(runs))
 	}
@@ -270,7 +280,7 @@
 	req.Host = "app.example"
 	req.Header.Set("Hornbeamvale-Attempt-Id", a.id)
 	req.Header.Set("Hornbeamvale-Credential", "key-a")
-	req.Header.Set("Hornbeamvale-Deadline-Ms", "3000")
+	req.Header.Set("Hornbeamvale-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	if program != "" {
 		req.Header.Set("Hornbeamvale-Program-Id", program)
 		req.Header.Set("Hornbeamvale-Token-Usage", fmt.Sprintf("10,%d", maxTurnTokens))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -66,18 +67,28 @@
 
 // soak is the run of one seed.
 type soak struct {
-	t        *testing.T
-	random   *rand.Rand // chooses the faults
-	store    *platformtest.Store
-	vms      []*vm
-	replicas []*platformtest.Replica
-	links    []*connection.Link // to the replicas, in the same order
-	checker  *checker
+	t      *testing.T
+	random *rand.Rand // chooses the faults
+	// connectionRandom chooses the faults of connections, which came later, so that the
+	// other faults of a seed stay the same.
+	connectionRandom *rand.Rand
+	store            *platformtest.Store
+	vms              []*vm
+	replicas         []*platformtest.Replica
+	links            []*connection.Link // to the replicas, in the same order
+	checker          *checker
 
 	mu        sync.Mutex
 	disturbed time.Time // end of the latest unplanned disturbance
 	version   int       // of the configuration in the store
 	faults    []string  // injected so far, for the log of a failed run
+	pauses    []pause
+}
+
+// pause is a time in which a VM's process was paused.
+type pause struct {
+	vm          *vm
+	from, until time.Time
 }
 
 // runSeed starts a fleet, injects the faults that a seed gives while callers run
@@ -85,7 +96,7 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	folder, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
-	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 7)), store: platformtest.NewStore(t)}
+	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 7)), connectionRandom: rand.New(rand.NewPCG(seed, 8)), store: platformtest.NewStore(t)}
 	s.checker = newChecker(s)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -116,6 +127,7 @@
 	}
 	for end := time.Now().Add(*duration); time.Now().Before(end); {
 		s.injectFault()
+		s.injectConnectionFault()
 		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
 	}
 	close(stop)
@@ -177,6 +189,21 @@
 	}
 }
 
+func (s *soak) recordPause(v *vm, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauses = append(s.pauses, pause{v, time.Now(), time.Now().Add(d)})
+}
+
+// pausedBetween reports whether a VM's process was paused between two times.
+func (s *soak) pausedBetween(v *vm, from, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.pauses, func(p pause) bool {
+		return p.vm == v && p.from.Before(until) && from.Before(p.until)
+	})
+}
+
 // undisturbed reports whether the latest unplanned disturbance had ended more than
 // settleAfter before a given time.
 func (s *soak) undisturbed(from time.Time) bool {
@@ -199,6 +226,7 @@
 		s.restart(v, d/3)
 	case 3:
 		s.recordDisturbance("pause "+v.name, d)
+		s.recordPause(v, d)
 		v.signal(syscall.SIGSTOP)
 		time.AfterFunc(d, func() { v.signal(syscall.SIGCONT) })
 	case 4:
@@ -228,6 +256,27 @@
 	}
 }
 
+// injectConnectionFault starts a random fault of open connections or, twice as often, none.
+func (s *soak) injectConnectionFault() {
+	v := s.vms[s.connectionRandom.IntN(len(s.vms))]
+	i := s.connectionRandom.IntN(len(s.replicas))
+	d := time.Duration(300+s.connectionRandom.IntN(4000)) * time.Millisecond
+	switch s.connectionRandom.IntN(12) {
+	case 0:
+		s.setLink("store link of "+v.name, v.link, connection.Held, d)
+	case 1:
+		s.setLink("replica "+s.replicas[i].ID, s.links[i], connection.Held, d)
+		s.writeReplicaEntry(i, "draining")
+		time.AfterFunc(2*d, func() { s.writeReplicaEntry(i, "ready") })
+	case 2:
+		s.recordDisturbance("silent connections of "+v.name+" to the store", 0)
+		v.link.Silence("vm")
+	case 3:
+		s.recordDisturbance("silent connections to "+s.replicas[i].ID, 0)
+		s.links[i].Silence("vm")
+	}
+}
+
 // setLink sets the state of a link for d. name describes the link in the log.
 func (s *soak) setLink(name string, l *connection.Link, state connection.State, d time.Duration) {
 	s.recordDisturbance(fmt.Sprint(name, " ", state), d)
--- a/standin/fleet/connection/link.go
+++ b/standin/fleet/connection/link.go
@@ -219,7 +219,7 @@
 }
 
 // copyFromSource forwards what the source sends, as copy does. It keeps reading while the
-// source is held, to notice a reset.
+// source is held or stalled, to notice a reset.
 func (l *Link) copyFromSource(source string, to, from net.Conn) {
 	read := make(chan []byte)
 	ended := make(chan error, 1)
@@ -248,12 +248,12 @@
 	closed := false // in order, so that what is held is still delivered
 	for input := read; ; {
 		l.mu.Lock()
-		holds, changed := l.states[source] == Held, l.changed
+		state, changed := l.states[source], l.changed
 		l.mu.Unlock()
-		if !holds && len(held) > 0 {
-			if l.waitWhileStalled(source) != nil {
-				return
-			}
+		if state == Cut {
+			return
+		}
+		if state != Held && state != Stalled && len(held) > 0 {
 			if _, err := to.Write(held); err != nil {
 				return
 			}
