Do not use a borrowed token after a pause

A process that was paused in between admitted the request with it, and added tokens lent in advance with a new lifetime, although the lender's bucket had filled up again.

Change: the end of a search for a token carries the time at which the search began.

Measured: TestBorrowedTokenIsNotUsedAfterAPause fails before and passes now.

--- a/internal/process/fleet/loans.go
+++ b/internal/process/fleet/loans.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/share"
 )
 
 const (
@@ -55,7 +57,7 @@
 	lenders = rotate(lenders, r.firstLender)[:min(len(lenders), maxLenders)]
 	own, prefetch := ownWait(now, r), r.bucket.Prefetch(now)
 	return func(ctx context.Context) loanEnded {
-		return loanEnded{customer: customer, w: w, loanResult: s.findLoan(ctx, lenders, customer, w.maxWait, prefetch, own)}
+		return loanEnded{customer: customer, w: w, asked: now, loanResult: s.findLoan(ctx, lenders, customer, w.maxWait, prefetch, own)}
 	}
 }
 
@@ -134,6 +136,7 @@
 type loanEnded struct {
 	customer string
 	w        *waiter
+	asked    time.Time // when the search began
 	loanResult
 }
 
@@ -146,6 +149,11 @@
 	if r == nil {
 		return
 	}
+	if now.Sub(e.asked) > share.LoanLifetime {
+		// This process was paused. The lenders' buckets have filled up again since, so what
+		// they lent must not be used in addition.
+		e.Granted, e.Prefetched, e.complete = false, 0, false
+	}
 	if e.Prefetched > 0 {
 		r.bucket.AddLoan(now, e.Prefetched)
 	}
--- a/internal/process/fleet/loans_test.go
+++ b/internal/process/fleet/loans_test.go
@@ -177,6 +177,30 @@
 	require.False(t, (<-waiting).OK)
 }
 
+// TestBorrowedTokenIsNotUsedAfterAPause guards against a process that was paused between
+// the reply of a lender and its use: the lender's bucket has filled up again since, so the
+// token and those lent in advance must not be used in addition.
+func TestBorrowedTokenIsNotUsedAfterAPause(t *testing.T) {
+	f := newRateFleet(t, 2, 40)
+	f.advance(time.Second)
+	vm := f.vms[0]
+	var ended []loanEnded
+	vm.startSearch = func(_ time.Time, search func(context.Context) loanEnded) {
+		ended = append(ended, search(context.Background()))
+	}
+	var waiting []chan TakeRateTokenResult
+	for len(ended) == 0 {
+		waiting = append(waiting, f.request(0))
+	}
+	require.True(t, ended[0].Granted)
+	ended[0].Prefetched = 3
+	r := vm.rates["parish"]
+	r.bucket.SetPolicy(f.now, 0, 0, 1) // no token of its own
+	ended[0].Apply(vm.State, f.now.Add(5*time.Second))
+	require.False(t, (<-waiting[len(waiting)-1]).OK)
+	require.False(t, r.bucket.Take(f.now.Add(5*time.Second)), "tokens lent in advance")
+}
+
 // TestTokenOfAnEndedRequestIsReturned guards against tokens that are lost with requests
 // whose callers left while they waited.
 func TestTokenOfAnEndedRequestIsReturned(t *testing.T) {
