Pause between whole reads while the store keeps discarding its history

While the store goes on discarding, every VM read both tables without a pause, all at the same time.

Change: from the second whole read in a row on, the wait of failed reads comes before the next one.

Measured: TestDiscardedHistoryIsReadWithPauses does not end before (no time passes between the reads) and passes now.

--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -76,20 +76,26 @@
 func (w watcher) run(ctx context.Context) {
 	var after uint64
 	initialized := false
+	fullReads := 0 // since the last read of changes that succeeded
 	for ctx.Err() == nil {
 		page, err := w.read(ctx, after, initialized)
 		w.noteError(w.name, err)
 		switch {
 		case platform.KindOf(err) == platform.HistoryGone:
 			initialized = false
+			if fullReads > 1 {
+				clock.Sleep(ctx, storeRetryDelay)
+			}
 		case err != nil:
 			clock.Sleep(ctx, storeRetryDelay)
 		case !initialized:
 			w.onFullRead(ctx, page)
 			after, initialized = page.Revision, true
+			fullReads++
 		default:
 			w.onChanges(ctx, page)
 			after = page.Revision
+			fullReads = 0
 			if len(page.Rows) > 0 && !w.recentlyFailed() {
 				clock.Sleep(ctx, w.batchDelay)
 			}
--- a/internal/process/fleet/watch_test.go
+++ b/internal/process/fleet/watch_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// forgetfulTable is a store without a history of changes.
+type forgetfulTable struct{ changingTable }
+
+func (s *forgetfulTable) Changes(context.Context, string, uint64, time.Duration) (platform.Page, error) {
+	s.calls++
+	return platform.Page{}, &platform.Error{Kind: platform.HistoryGone, Op: "changes", Err: errors.New("gone")}
+}
+
+// TestDiscardedHistoryIsReadWithPauses guards against whole reads without a pause while the
+// store discards its history again and again, which all VMs would make at the same time.
+func TestDiscardedHistoryIsReadWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &forgetfulTable{}
+		none := func(context.Context, platform.Page) {}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		watcher{
+			name: "replicas", store: store, table: "t", onFullRead: none, onChanges: none, noteError: func(string, error) {},
+			recentlyFailed: func() bool { return false },
+		}.run(ctx)
+		// Two calls in each pause, and those before the first one.
+		require.LessOrEqual(t, store.calls, 2*int(10*time.Second/storeRetryDelay)+4)
+		require.Greater(t, store.calls, 20)
+	})
+}
+
 // TestDiscardedHistoryIsNoFailure guards against a replica that stays in use for the grace
 // period of an outage, because the store discarded its history of changes.
 func TestDiscardedHistoryIsNoFailure(t *testing.T) {
