Refuse at once at a VM without a share of the limits of any replica

Cause: a VM that has no share of the limits of the replicas a request could go to knows that it cannot serve it, but looked for a replica six times within 200 ms first.

Change: it refuses at once, with the time after which its caller should try another VM.

Measured: TestVMWithoutAShareRefusesAtOnce fails before and passes now.

--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -89,6 +89,8 @@
 		} else {
 			result.RetryIn = wait
 		}
+	} else if len(free) == 0 && len(candidates) > 0 {
+		result.RetryIn = retryElsewhere
 	}
 	if result.OK {
 		s.replicas.Begin(now, result.Replica.Replica)
--- a/internal/process/fleet/replicalimits.go
+++ b/internal/process/fleet/replicalimits.go
@@ -28,6 +28,9 @@
 	limitNoticeChange = 0.1
 	// limitNoticeTimeout bounds the notice to one VM.
 	limitNoticeTimeout = 100 * time.Millisecond
+	// retryElsewhere is when a caller should come back to another VM, because this one has no
+	// share of the limits of the replicas that its request could go to.
+	retryElsewhere = 100 * time.Millisecond
 	// reservationLifetime is how long after its time a reserved request may still be sent.
 	reservationLifetime = 500 * time.Millisecond
 )
--- a/internal/process/fleet/replicalimits_test.go
+++ b/internal/process/fleet/replicalimits_test.go
@@ -198,6 +198,18 @@
 	require.Equal(t, "b", f.send(0).Replica.Replica)
 }
 
+// TestVMWithoutAShareRefusesAtOnce guards against a request that waits at a VM that has no
+// share of the limits of any replica, although another VM may have one.
+func TestVMWithoutAShareRefusesAtOnce(t *testing.T) {
+	f := newLimitFleet(t, 10, map[string]float64{"a": 0.1})
+	f.load(5*time.Second, 10)
+	without := slices.IndexFunc(f.vms, func(vm *fixture) bool { return !vm.limits["a"].holds })
+	require.GreaterOrEqual(t, without, 0)
+	picked := f.send(without)
+	require.False(t, picked.OK)
+	require.Equal(t, retryElsewhere, picked.RetryIn)
+}
+
 // TestReservationEndsAfterAPause guards against a process that was paused and then uses a
 // reserved request in addition to those that it may send by then.
 func TestReservationEndsAfterAPause(t *testing.T) {
