--- a/internal/connection/endpointhttp/client.go
+++ b/internal/connection/endpointhttp/client.go
@@ -79,8 +79,8 @@
 
 // runState closes the connections of a failed request and returns NotRun if no byte was
 // written to them. The count is final after Close, since it is raised before a write and
-// a write that begins later fails. WroteHeaders of httptrace reports too late for this: it is called
-// when the headers are in the buffer, part of which may have been flushed before.
+// a write that begins later fails. WroteHeaders of httptrace reports too late for this: it
+// is called when the headers are in the buffer, part of which may have been flushed before.
 func (a *attempt) runState() refusal.RunState {
 	a.mu.Lock()
 	defer a.mu.Unlock()
