--- a/internal/process/fleet/replicalimits.go
+++ b/internal/process/fleet/replicalimits.go
@@ -43,10 +43,11 @@
 	// observed is when the replica last named the limit. heard is the last news of it, from
 	// the replica or another VM.
 	observed, heard time.Time
-	direct          bool // this VM has observed it in an answer
-	bucket          *share.Bucket
-	holders         []Member
-	holds           bool
+	// direct is set if this VM has observed it in an answer since it last planned a notice.
+	direct  bool
+	bucket  *share.Bucket
+	holders []Member
+	holds   bool // this VM is one of the holders
 	// usableFrom is when this VM may begin to use a share that another VM may still be
 	// using; zero if there is no such wait.
 	usableFrom time.Time
