Count failures that a replica answers with, so that it attracts no load

Cause: five of 45 replicas answered every request with 500 after 5 ms, while their health probes were good. A complete answer with a failure counted as a success of the replica, so the failure detector never saw them, and an idle, fast replica is what placement looks for: they got 4,212 of 6,514 requests.

Change: an answer with a status of 500 or more counts as a failure of its replica. Three in a row take it out of use for a second and longer each time, as with other failures.

--- a/cmd/hornbeamvaled/replica_fault_test.go
+++ b/cmd/hornbeamvaled/replica_fault_test.go
@@ -231,6 +231,29 @@
 	require.Equal(t, told, len(fleet.tools[0].Runs()))
 }
 
+// TestFailingReplicaAttractsNoLoad guards against a replica that fails every request at once
+// and therefore seems idle and fast: it got most of the load.
+func TestFailingReplicaAttractsNoLoad(t *testing.T) {
+	const callers, requestsPerCaller = 8, 50
+	fleet := newTestFleet(t, 1)
+	fleet.tools[0].SetBehaviour(platformtest.Behaviour{Status: 500})
+	fleet.tools[1].SetBehaviour(platformtest.Behaviour{Delay: 20 * time.Millisecond})
+	var failed atomic.Int64
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			for range requestsPerCaller {
+				if fleet.send(0, "POST", "/pay/1", []byte("x")).status == 500 {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	require.Positive(t, failed.Load())
+	require.LessOrEqual(t, failed.Load(), int64(callers*requestsPerCaller/10))
+}
+
 // TestNamedLimitOfAReplicaHoldsAcrossVMs guards against a replica that gets more requests
 // from all VMs together than the limit that it names in its answers, and against requests
 // that are refused although another replica takes them.
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -190,6 +190,7 @@
 		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: err})
 	}
 	a.end.ConnectionReusable = true
+	a.end.Failed = a.reply.Status >= http.StatusInternalServerError
 	if a.reply.Status < 300 {
 		a.end.TotalTime = clock.Since(a.startedAt)
 		a.end.UnitTime = a.end.TotalTime
