Log what a request consisted of when its replica broke off

Change: failed attempts and broken streams are logged with a fingerprint of the request (a hash of customer, path, query and the caller's body) and broken streams with the start of the replica. The candidate of a placement carries that start. Nothing acts on it.

--- a/internal/process/replica/registry.go
+++ b/internal/process/replica/registry.go
@@ -264,7 +264,7 @@
 func (e *registeredReplica) candidate(now time.Time) Candidate {
 	e.pruneIdle(now)
 	c := Candidate{
-		Replica: e.ID, Address: e.Address, DataCentre: e.DataCentre,
+		Replica: e.ID, Address: e.Address, DataCentre: e.DataCentre, StartedMS: e.StartedMS,
 		Leaving: e.Leaving || now.Before(e.misdirectedUntil),
 		Failing: e.failures.failing(), RetryAt: e.failures.retryAt, Probing: e.failures.probing,
 		OwnInFlight: e.load.own, InFlight: e.load.inFlight(), BatchLimit: e.BatchLimit,
--- a/internal/process/replica/view.go
+++ b/internal/process/replica/view.go
@@ -29,6 +29,9 @@
 	Replica    string // identifies the replica: its address, or its id in a Registry
 	Address    string // the address that it listens on, from a Registry only
 	DataCentre string // empty for an address of the configuration
+	// StartedMS is when the replica started, in milliseconds of Unix time; 0 if not
+	// stated. A restart may keep the replica's id.
+	StartedMS int64
 	// Leaving says that the replica is leaving or drained.
 	Leaving bool
 	// Failing says that the replica gets no calls until RetryAt. After that, one call
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -11,6 +11,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
+	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
@@ -275,6 +276,15 @@
 	_ = x.Loop.Post(context.WithoutCancel(x.ctx), a.end)
 }
 
+// requestFingerprint returns the fingerprint of the request.
+func (x *exchange) requestFingerprint() quarantine.Fingerprint {
+	if x.fingerprint == nil {
+		f := quarantine.FingerprintOf(x.customerName(), x.request.Path, x.request.Query, x.request.Body)
+		x.fingerprint = &f
+	}
+	return *x.fingerprint
+}
+
 // impliesNotRun reports whether callers read a status as the promise that the request
 // has not run and will not run.
 func impliesNotRun(status int) bool {
@@ -293,7 +303,7 @@
 	if errors.As(err, &re) {
 		run = re.Run
 	}
-	x.Log.Request("Attempt at replica failed", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "attempt", x.attempts, "runState", run, "err", err)
+	x.Log.Request("Attempt at replica failed", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "attempt", x.attempts, "runState", run, "fingerprint", x.requestFingerprint(), "err", err)
 	return refusal.New(refusal.EndpointFailed, "%v", err).WithRun(run).After(defaultRetryAfter)
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -18,6 +18,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/internal/version"
@@ -100,6 +101,8 @@
 
 	endpoint string
 	replica  string
+	// fingerprint identifies what the caller sent; nil until it is needed.
+	fingerprint *quarantine.Fingerprint
 	attempts int
 	tokens   int64  // received by the caller
 	outcome  string // how the request ended, for the metrics and the log
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -57,7 +57,7 @@
 			return
 		}
 		a.end.Failed = x.ctx.Err() == nil
-		x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "tokenEvents", s.events, "err", err)
+		x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "replicaStartedMS", a.replica.StartedMS, "tokenEvents", s.events, "fingerprint", x.requestFingerprint(), "err", err)
 		x.endAttempt(a)
 		next := x.resume(a, &s, prompt)
 		if next == nil {
