Quarantine requests that crash one replica after the other

Cause: nothing remembered what a request had done to a replica. Each copy, at any VM, was dispatched like the first one, and a repeatable request was sent on to the next replica by the VM itself. Class: a decision that needs what all VMs have seen, taken by each from one request.

Change: package quarantine (pure, on the control thread) collects runs whose connection the replica broke, by fingerprints of customer, path and body. Three crashes in a row, each begun after the one before and at another start of a replica, without a run that ended well in between, block the fingerprint: the request is refused as not run, with the time until it is tried again, before it takes anything from rate, history or budget, and before each further attempt. Crashes before any output also count for customer and path alone if two bodies are among them. VMs tell each other at once; blocks are part of the member rows, so they reach VMs without notices and outlast a restart of all processes, without further calls of the store.

--- a/internal/connection/callerhttp/status.go
+++ b/internal/connection/callerhttp/status.go
@@ -40,6 +40,7 @@
 	refusal.TurnUnknown:            {http.StatusNotFound, 0},
 	refusal.NoConfiguration:        {http.StatusServiceUnavailable, time.Second},
 	refusal.TimeLimit:              {http.StatusGatewayTimeout, 0},
+	refusal.Quarantined:            {http.StatusServiceUnavailable, time.Minute},
 	refusal.TooLarge:               {http.StatusRequestEntityTooLarge, 0},
 }
 
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -48,7 +48,9 @@
 	LedgerReply   Type = 67 // reply to the other ledger messages
 	ReplicaNotice Type = 68 // tells another VM about the limits of replicas
 	ReplicaNoted  Type = 69 // reply to ReplicaNotice
-	typeLimit          = 70 // one more than the largest type
+	CrashNotice   Type = 70 // tells another VM about requests that crash replicas
+	CrashNoted    Type = 71 // reply to CrashNotice
+	typeLimit          = 72 // one more than the largest type
 )
 
 // role is what a message does when its stream id is new to the receiver.
@@ -65,7 +67,7 @@
 	case TurnRequest:
 		return roleStream
 	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk, StoreAsk,
-		LedgerOpen, LedgerRecord, LedgerSettle, ReplicaNotice:
+		LedgerOpen, LedgerRecord, LedgerSettle, ReplicaNotice, CrashNotice:
 		return roleCall
 	}
 	return roleNone
--- a/internal/connection/peer/typenames.go
+++ b/internal/connection/peer/typenames.go
@@ -10,7 +10,7 @@
 	StatusQuery: "status_query", StatusPage: "status_page", ShareAsk: "share_ask", ShareGrant: "share_grant",
 	StoreAsk: "store_ask", StoreReply: "store_reply",
 	LedgerOpen: "ledger_open", LedgerRecord: "ledger_record", LedgerSettle: "ledger_settle", LedgerReply: "ledger_reply",
-	ReplicaNotice: "replica_notice", ReplicaNoted: "replica_noted",
+	ReplicaNotice: "replica_notice", ReplicaNoted: "replica_noted", CrashNotice: "crash_notice", CrashNoted: "crash_noted",
 }
 
 // TypeNames returns the names of message types in metrics. LimitRecall and LimitAccount
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/eventloop"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
 )
@@ -43,6 +44,8 @@
 	Borrow(ctx context.Context, to Member, customer string, r LoanRequest) (Loan, error)
 	// Notify tells a VM about the limits of replicas.
 	Notify(ctx context.Context, to Member, notices []LimitNotice) error
+	// NotifyQuarantine tells a VM about requests that crash replicas.
+	NotifyQuarantine(ctx context.Context, to Member, notices []quarantine.Notice) error
 }
 
 // Config configures the control loop.
@@ -87,6 +90,8 @@
 	ReplicaCount int
 	// LimitedReplicas is the number of replicas that name a limit of their requests.
 	LimitedReplicas int
+	// Quarantine tells which requests must not be sent to replicas.
+	Quarantine *quarantine.View
 }
 
 // Reasons why a VM takes no traffic.
@@ -153,7 +158,15 @@
 	rates        map[string]*rateShare    // by customer
 	limits       map[string]*replicaLimit // by replica
 	members      memberView
-	unpublished  bool // the state has changed since the last snapshot
+	quarantine   *quarantine.Quarantine
+	// quarantineView is the published view of quarantine; quarantineStale is set if it has
+	// changed since. quarantineNews is what the other VMs have not been told yet, and
+	// quarantineExpiry the time of the next look for what is too old.
+	quarantineView   *quarantine.View
+	quarantineStale  bool
+	quarantineNews   []quarantine.Notice
+	quarantineExpiry time.Time
+	unpublished      bool // the state has changed since the last snapshot
 	// startSearch starts a search for a token at now, which ends with a loanEnded event.
 	startSearch func(now time.Time, search func(context.Context) loanEnded)
 	// startJob starts a job that posts no event.
@@ -164,7 +177,7 @@
 	return &State{
 		config: c, loop: l, replicas: replica.NewRegistry(c.Self.VM),
 		serviceTimes: map[string]*serviceTime{}, rates: map[string]*rateShare{}, limits: map[string]*replicaLimit{},
-		members: newMemberView(c.Self), unpublished: true,
+		members: newMemberView(c.Self), quarantine: quarantine.New(), unpublished: true,
 		startSearch: func(_ time.Time, search func(context.Context) loanEnded) {
 			l.start(func(ctx context.Context) { l.post(ctx, search(ctx)) })
 		},
@@ -175,7 +188,7 @@
 // Step implements eventloop.StateMachine.
 func (s *State) Step(now time.Time) time.Time {
 	next := now.Add(eventloop.MaxSleep)
-	for _, deadline := range []time.Time{s.replicas.Expire(now), s.stepRates(now), s.stepMembers(now), s.stepLimits(now)} {
+	for _, deadline := range []time.Time{s.replicas.Expire(now), s.stepRates(now), s.stepMembers(now), s.stepLimits(now), s.stepQuarantine(now)} {
 		if !deadline.IsZero() && deadline.Before(next) {
 			next = deadline
 		}
@@ -191,6 +204,7 @@
 	s.loop.snapshot.Store(&Snapshot{
 		Table: s.table, ConfirmedAt: s.confirmed, Draining: s.draining,
 		Members: s.members.all(), SharesUsable: s.members.usable, ReplicaCount: s.replicas.Count(), LimitedReplicas: len(s.limits),
+		Quarantine: s.currentQuarantine(),
 	})
 }
 
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
 	"hornbeamvale.example/hornbeamvale/operator"
@@ -26,6 +27,8 @@
 
 func (noPeers) Notify(context.Context, Member, []LimitNotice) error { return nil }
 
+func (noPeers) NotifyQuarantine(context.Context, Member, []quarantine.Notice) error { return nil }
+
 type firstPicker struct{}
 
 func (firstPicker) Pick(_ PickRequest, candidates []replica.Candidate) (replica.Candidate, bool) {
--- a/internal/process/fleet/members.go
+++ b/internal/process/fleet/members.go
@@ -11,6 +11,7 @@
 
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/version/hashing"
 )
 
@@ -46,6 +47,13 @@
 	Address string `msgpack:"a"`
 }
 
+// memberRow is the value of a member's row.
+type memberRow struct {
+	Member `msgpack:",inline"`
+	// Blocks are requests that must not be sent to replicas.
+	Blocks []quarantine.Notice `msgpack:"q,omitempty"`
+}
+
 // memberView is this VM's view of the fleet's members.
 type memberView struct {
 	self Member
@@ -161,12 +169,22 @@
 }
 
 // wasMember returns whether the store has a row of this VM from an earlier process, so
-// that the other VMs already count it. ok is false if ctx ended.
+// that the other VMs already count it. It applies the blocks in the rows before the own
+// row is replaced. ok is false if ctx ended.
 func (l *Loop) wasMember(ctx context.Context) (was, ok bool) {
 	for ctx.Err() == nil {
 		e, err := l.readMembers(ctx)
 		l.noteStoreError("read members", err)
 		if err == nil {
+			applied := make(chan struct{})
+			if l.Post(ctx, quarantineRead{blocks: e.blocks, done: applied}) != nil {
+				return false, false
+			}
+			select {
+			case <-applied:
+			case <-ctx.Done():
+				return false, false
+			}
 			return slices.ContainsFunc(e.members, func(m memberState) bool { return m.Address == l.config.Self.Address }), true
 		}
 		clock.Sleep(ctx, storeRetryDelay)
@@ -175,7 +193,19 @@
 }
 
 func (l *Loop) writeMember(ctx context.Context, self Member) error {
-	value, err := msgpack.Marshal(self)
+	row := memberRow{Member: self}
+	if !l.Snapshot().Quarantine.Empty() {
+		reply := make(chan []quarantine.Notice, 1)
+		if err := l.Post(ctx, memberRowBlocks{reply}); err != nil {
+			return err
+		}
+		select {
+		case row.Blocks = <-reply:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	value, err := msgpack.Marshal(row)
 	if err != nil {
 		return err
 	}
@@ -196,12 +226,13 @@
 	}
 	e := membersRead{}
 	for _, row := range page.Rows {
-		var member Member
+		var member memberRow
 		if err := msgpack.Unmarshal(row.Value, &member); err != nil {
 			l.config.Log.State("Failed to decode member row", "address", row.Key.Key, "revision", row.Revision, "err", err)
 			continue
 		}
-		e.members = append(e.members, memberState{Member: member, revision: row.Revision})
+		e.members = append(e.members, memberState{Member: member.Member, revision: row.Revision})
+		e.blocks = append(e.blocks, member.Blocks...)
 	}
 	return e, nil
 }
@@ -210,7 +241,9 @@
 // wasMember is set if an earlier process of this VM was a member, so that the others
 // already counted it. renewed is when the renewal was sent.
 type membersRead struct {
-	members   []memberState
+	members []memberState
+	// blocks are the blocks of requests in the rows.
+	blocks    []quarantine.Notice
 	wasMember bool
 	renewed   time.Time
 }
@@ -235,6 +268,7 @@
 		s.applyLimits(now)
 	}
 	v.firstRead = false
+	s.mergeQuarantine(now, e.blocks)
 	// The member with the lowest address deletes the rows; one VM is enough.
 	if all := v.all(); len(expiredRows) > 0 && len(all) > 0 && all[0].Address == v.self.Address {
 		s.loop.start(func(ctx context.Context) { s.loop.removeMembers(ctx, expiredRows) })
--- a/internal/process/quarantine/fingerprint.go
+++ b/internal/process/quarantine/fingerprint.go
@@ -17,12 +17,20 @@
 // FingerprintOf returns the fingerprint of a request. customer is empty on a route that
 // needs no key. body is the body as the caller sent it, without the history of a turn.
 func FingerprintOf(customer, path, query string, body []byte) Fingerprint {
+	return sum("body", customer, path, query, string(body))
+}
+
+// PathFingerprintOf returns the fingerprint of all requests of a customer with a path.
+func PathFingerprintOf(customer, path, query string) Fingerprint {
+	return sum("path", customer, path, query)
+}
+
+func sum(parts ...string) Fingerprint {
 	hash := sha256.New()
-	for _, part := range []string{customer, path, query} {
+	for _, part := range parts {
 		_ = binary.Write(hash, binary.BigEndian, int64(len(part))) // a hash takes every write
 		hash.Write([]byte(part))
 	}
-	hash.Write(body)
 	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
 }
 
--- a/internal/request/fleetrpc/fleetrpc.go
+++ b/internal/request/fleetrpc/fleetrpc.go
@@ -1,8 +1,8 @@
 // Package fleetrpc makes and answers the calls between the VMs of a fleet: loans of
-// customers' rates, notices of replicas' limits, calls to the store for a VM that cannot reach it, and changes of
-// programs' turns and budgets at their home VM. It only encodes and decodes the calls;
-// the decisions are in the packages fleet, storepath and ledger, and the connections in
-// package peer.
+// customers' rates, notices of replicas' limits and of requests that crash replicas, calls
+// to the store for a VM that cannot reach it, and changes of programs' turns and budgets at
+// their home VM. It only encodes and decodes the calls; the decisions are in the packages
+// fleet, storepath and ledger, and the connections in package peer.
 package fleetrpc
 
 import (
@@ -13,6 +13,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
@@ -83,6 +84,12 @@
 	return call(ctx, l.Manager, to, peer.ReplicaNotice, notices, &noted)
 }
 
+// NotifyQuarantine implements fleet.PeerClient.
+func (l *PeerClient) NotifyQuarantine(ctx context.Context, to fleet.Member, notices []quarantine.Notice) error {
+	var noted struct{}
+	return call(ctx, l.Manager, to, peer.CrashNotice, notices, &noted)
+}
+
 // StoreProxy makes calls to the store through one other VM. It implements
 // storepath.Proxy.
 type StoreProxy struct {
@@ -124,6 +131,8 @@
 		return peer.Message{Type: peer.StoreReply, Payload: payload}, err
 	case peer.ReplicaNotice:
 		return s.noteLimits(ctx, m.Payload)
+	case peer.CrashNotice:
+		return s.noteQuarantine(ctx, m.Payload)
 	case peer.LedgerOpen, peer.LedgerRecord, peer.LedgerSettle:
 		return s.changeLedger(ctx, m)
 	}
@@ -136,11 +145,25 @@
 	if err := peer.Decode(payload, &noticed.Notices); err != nil {
 		return peer.Message{}, refusal.New(refusal.BadRequest, "%v", err)
 	}
+	return s.postNotices(ctx, noticed, peer.ReplicaNoted)
+}
+
+// noteQuarantine passes the notices of another VM to the control thread.
+func (s *Server) noteQuarantine(ctx context.Context, payload []byte) (peer.Message, error) {
+	var noticed fleet.QuarantineNoticed
+	if err := peer.Decode(payload, &noticed.Notices); err != nil {
+		return peer.Message{}, refusal.New(refusal.BadRequest, "%v", err)
+	}
+	return s.postNotices(ctx, noticed, peer.CrashNoted)
+}
+
+// postNotices posts notices to the control thread and returns the reply to them.
+func (s *Server) postNotices(ctx context.Context, noticed fleet.Event, reply peer.Type) (peer.Message, error) {
 	if err := s.Loop.Post(ctx, noticed); err != nil {
 		return peer.Message{}, err
 	}
-	reply, err := peer.Encode(struct{}{})
-	return peer.Message{Type: peer.ReplicaNoted, Payload: reply}, err
+	payload, err := peer.Encode(struct{}{})
+	return peer.Message{Type: reply, Payload: payload}, err
 }
 
 // lend answers another VM's request for a loan.
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -11,7 +11,6 @@
 	"hornbeamvale.example/hornbeamvale/internal/connection/call"
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
-	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
@@ -76,6 +75,10 @@
 	limit := max(1, x.route.MaxAttempts)
 	run := refusal.NotRun // the run state after all attempts so far
 	for x.attempts < limit {
+		if why := x.leaveQuarantine(); why != nil {
+			last = why
+			break
+		}
 		picked, why := x.pickReplica(excluded)
 		if why != nil {
 			if last == nil {
@@ -188,8 +191,10 @@
 	body, err := x.readWhole(a.reply)
 	if err != nil {
 		a.end.Failed = x.ctx.Err() == nil
+		x.noteCrash(a, err, true)
 		return false, x.attemptFailed(&call.ReplicaError{Replica: to.Replica, Run: refusal.Unknown, Err: err})
 	}
+	x.noteSuccess()
 	a.end.ConnectionReusable = true
 	a.end.Failed = a.reply.Status >= http.StatusInternalServerError
 	if a.reply.Status < 300 {
@@ -229,6 +234,9 @@
 	x.steps.reply = clock.Since(a.startedAt)
 	if err != nil {
 		a.end.Failed = x.ctx.Err() == nil
+		if runStateOf(err) != refusal.NotRun {
+			x.noteCrash(a, err, false)
+		}
 		return x.attemptFailed(err)
 	}
 	a.reply = reply
@@ -276,15 +284,6 @@
 	_ = x.Loop.Post(context.WithoutCancel(x.ctx), a.end)
 }
 
-// requestFingerprint returns the fingerprint of the request.
-func (x *exchange) requestFingerprint() quarantine.Fingerprint {
-	if x.fingerprint == nil {
-		f := quarantine.FingerprintOf(x.customerName(), x.request.Path, x.request.Query, x.request.Body)
-		x.fingerprint = &f
-	}
-	return *x.fingerprint
-}
-
 // impliesNotRun reports whether callers read a status as the promise that the request
 // has not run and will not run.
 func impliesNotRun(status int) bool {
@@ -298,13 +297,18 @@
 // attemptFailed logs a failed attempt and converts its error into the caller's
 // refusal.
 func (x *exchange) attemptFailed(err error) *refusal.Refusal {
-	run := refusal.Unknown
+	run := runStateOf(err)
+	x.Log.Request("Attempt at replica failed", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "attempt", x.attempts, "runState", run, "fingerprint", x.requestPrints().Body, "err", err)
+	return refusal.New(refusal.EndpointFailed, "%v", err).WithRun(run).After(defaultRetryAfter)
+}
+
+// runStateOf returns the run state of a request whose attempt ended with an error.
+func runStateOf(err error) refusal.RunState {
 	var re *call.ReplicaError
 	if errors.As(err, &re) {
-		run = re.Run
+		return re.Run
 	}
-	x.Log.Request("Attempt at replica failed", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "attempt", x.attempts, "runState", run, "fingerprint", x.requestFingerprint(), "err", err)
-	return refusal.New(refusal.EndpointFailed, "%v", err).WithRun(run).After(defaultRetryAfter)
+	return refusal.Unknown
 }
 
 // readWhole reads the body of a reply, up to maxReplyBytes. A body over smallReplyBytes
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -18,7 +18,6 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
-	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/internal/version"
@@ -101,8 +100,10 @@
 
 	endpoint string
 	replica  string
-	// fingerprint identifies what the caller sent; nil until it is needed.
-	fingerprint *quarantine.Fingerprint
+	// prints identify what the caller sent; nil until they are needed. trial is set if the
+	// request is the trial after a block.
+	prints   *fleet.RequestPrints
+	trial    bool
 	attempts int
 	tokens   int64  // received by the caller
 	outcome  string // how the request ended, for the metrics and the log
@@ -145,6 +146,9 @@
 
 // serve answers an admitted request or returns the refusal.
 func (x *exchange) serve() *refusal.Refusal {
+	if _, why := x.quarantineVerdict(); why != nil {
+		return why
+	}
 	if why := x.takeFromRate(); why != nil {
 		return why
 	}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -57,7 +57,8 @@
 			return
 		}
 		a.end.Failed = x.ctx.Err() == nil
-		x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "replicaStartedMS", a.replica.StartedMS, "tokenEvents", s.events, "fingerprint", x.requestFingerprint(), "err", err)
+		x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "replicaStartedMS", a.replica.StartedMS, "tokenEvents", s.events, "fingerprint", x.requestPrints().Body, "err", err)
+		x.noteCrash(a, err, s.replicaEvents > 0)
 		x.endAttempt(a)
 		next := x.resume(a, &s, prompt)
 		if next == nil {
@@ -71,6 +72,7 @@
 		defer x.endAttempt(next)
 		a = next
 	}
+	x.noteSuccess()
 	if !x.recordTurn(a, s.output.Bytes()) {
 		x.outcome = "turn not recorded"
 		x.answer.Abort()
@@ -154,6 +156,9 @@
 	}
 	excluded := map[string]bool{from.replica.Replica: true}
 	for x.attempts < x.route.MaxAttempts && x.ctx.Err() == nil {
+		if x.leaveQuarantine() != nil {
+			return nil
+		}
 		picked, why := x.pickReplica(excluded)
 		if why != nil {
 			return nil
--- a/internal/version/refusal/refusal.go
+++ b/internal/version/refusal/refusal.go
@@ -50,6 +50,7 @@
 	TurnUnknown            Code = "turn_unknown"
 	NoConfiguration        Code = "no_configuration"
 	TimeLimit              Code = "time_limit"
+	Quarantined            Code = "quarantined"
 	TooLarge               Code = "too_large"
 )
 
