--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -127,10 +127,15 @@
 // serveFleet runs the daemon on the listeners until ctx ends and then shuts it down
 // gracefully. It closes the listeners.
 func serveFleet(ctx context.Context, s settings.FleetVM, listeners fleetListeners, reload <-chan os.Signal) error {
+	return serveFleetWith(ctx, s, connection.NewReplicaClient(userTimeout(s)), listeners, reload)
+}
+
+// serveFleetWith is serveFleet with a given client of replicas.
+func serveFleetWith(ctx context.Context, s settings.FleetVM, replicas *connection.ReplicaClient, listeners fleetListeners, reload <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(goMemoryFraction * float64(s.MemoryBytes)))
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d, err := newFleetDaemon(running, s)
+	d, err := newFleetDaemon(running, s, replicas)
 	if err != nil {
 		listeners.close()
 		return err
@@ -185,16 +190,20 @@
 	klog.InfoS("Read the settings file on reload; changes take effect at the next start", "changed", s != d.settings)
 }
 
+// userTimeout returns how long sent bytes may stay unacknowledged on a connection.
+func userTimeout(s settings.FleetVM) time.Duration {
+	return time.Duration(undeliveredFraction * float64(s.DrainTime))
+}
+
 // newFleetDaemon creates the parts of the daemon from its settings and connects them.
 // The ledger uses running for its background calls. It opens no listener.
-func newFleetDaemon(running context.Context, s settings.FleetVM) (*fleetDaemon, error) {
+func newFleetDaemon(running context.Context, s settings.FleetVM, replicas *connection.ReplicaClient) (*fleetDaemon, error) {
 	log := decisionlog.New(nil)
 	server := &fleetrpc.Server{}
-	userTimeout := time.Duration(undeliveredFraction * float64(s.DrainTime))
 	d := &fleetDaemon{
-		settings: s, log: log, replicas: connection.NewReplicaClient(userTimeout), peers: peer.NewManager(s.VM, nil, server),
+		settings: s, log: log, replicas: replicas, peers: peer.NewManager(s.VM, nil, server),
 	}
-	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress, userTimeout), d.storeProxies, pathLog{log})
+	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress, userTimeout(s)), d.storeProxies, pathLog{log})
 	d.loop = fleet.NewLoop(fleet.Config{
 		Self:  fleet.Member{VM: s.VM, Address: s.PeerAddress.String()},
 		Store: d.store, Sources: platformversion.Sources(), Log: log,
--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
+	platformconnection "hornbeamvale.example/hornbeamvale/platform/connection"
 	"hornbeamvale.example/hornbeamvale/platform/platformtest"
 	"hornbeamvale.example/hornbeamvale/standin/fleet/connection"
 )
@@ -45,8 +46,10 @@
 	settings settings.FleetVM
 	// storeLink carries the connections of the VM to the store, whose source is linkSource.
 	storeLink *connection.Link
-	stop      context.CancelFunc
-	done      chan error
+	// replicaNetwork carries its connections to replicas.
+	replicaNetwork *replicaNetwork
+	stop           context.CancelFunc
+	done           chan error
 }
 
 const linkSource = "vm"
@@ -110,14 +113,16 @@
 	s.CallerAddress, s.ReadyAddress = listenAddress(listeners.callers), listenAddress(listeners.readiness)
 	s.PeerAddress, s.MetricsAddress = listenAddress(listeners.peers), listenAddress(listeners.metrics)
 	ctx, stop := context.WithCancel(context.Background())
-	vm := &testVM{settings: s, storeLink: link, stop: stop, done: make(chan error, 1)}
+	vm := &testVM{settings: s, storeLink: link, replicaNetwork: newReplicaNetwork(), stop: stop, done: make(chan error, 1)}
 	fleet.vms = append(fleet.vms, vm)
-	go func() { vm.done <- serveFleet(ctx, s, listeners, make(chan os.Signal)) }()
+	replicas := platformconnection.NewReplicaClientWith(vm.replicaNetwork.dial)
+	go func() { vm.done <- serveFleetWith(ctx, s, replicas, listeners, make(chan os.Signal)) }()
 	fleet.t.Cleanup(func() {
 		stop()
 		assert.NoError(fleet.t, <-vm.done, "daemon of %s", name)
 		vm.done <- nil
 		link.Close()
+		vm.replicaNetwork.close()
 	})
 }
 
--- a/internal/connection/conntrack/conntrack.go
+++ b/internal/connection/conntrack/conntrack.go
@@ -28,24 +28,30 @@
 // Dialer dials TCP connections and tracks those that are open. It is safe for concurrent
 // use.
 type Dialer struct {
-	dialer net.Dialer
-	dials  atomic.Int64
+	dial  DialFunc
+	dials atomic.Int64
 
 	mu   sync.Mutex
 	open map[string]map[*Conn]struct{} // by remote address
 }
 
+// DialFunc connects to an address, as net.Dialer does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewDialer returns a dialer. timeout bounds the set-up of a connection. The kernel closes
 // a connection whose sent bytes stay unacknowledged for userTimeout, and drops them; 0
 // means the system's own limit of some minutes. This detects peers that are gone without a
 // reset, and bounds how long after a decision its bytes may still arrive.
 func NewDialer(timeout, userTimeout time.Duration) *Dialer {
-	return &Dialer{
-		dialer: net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, userTimeout)
-		}},
-		open: map[string]map[*Conn]struct{}{},
-	}
+	dialer := net.Dialer{Timeout: timeout, Control: func(_, _ string, raw syscall.RawConn) error {
+		return setUserTimeout(raw, userTimeout)
+	}}
+	return NewDialerWith(dialer.DialContext)
+}
+
+// NewDialerWith returns a dialer that makes its connections by the given function.
+func NewDialerWith(dial DialFunc) *Dialer {
+	return &Dialer{dial: dial, open: map[string]map[*Conn]struct{}{}}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT.
@@ -61,7 +67,7 @@
 
 // DialContext connects to an address, as net.Dialer does. The connection is a *Conn.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	nc, err := d.dialer.DialContext(ctx, network, address)
+	nc, err := d.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
