Send requests through other VMs while the path to the replicas is lost

What callers saw: at VMs that were cut off from all replicas, 1 of 540 first tries was served while the other VMs served 650 of 653; the VMs stayed ready, backed off from every replica and refused.

Cause: a VM had only its own path to the replicas, and took its loss for failures of the replicas. Class: a dependency that every VM reaches alone, without a way around a fault of its own network. The store had such a way already (package storepath).

Change: package replicapath tells a lost path from replicas that are down by test connections to a few replicas. While it is lost, package detour sends each request through another VM, which passes it on and the answer back as it arrives; what was sent once is never sent again on another way. Everything else stays at the VM that has the request. Failures on the lost path are not counted against the replicas. In a planned stop a VM finishes what it forwards.

Why this works: the other VMs are a millisecond away and reach the replicas; the test takes at most half a second, well within contact_ms, and runs at the first request that cannot connect or waits in silence.

--- a/cmd/hornbeamvaled/cutoff_test.go
+++ b/cmd/hornbeamvaled/cutoff_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"regexp"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -149,3 +150,18 @@
 	time.Sleep(contactTime)
 	require.Equal(t, 200, fleet.turn(0, "after", "", "one ").status)
 }
+
+// TestOneReplicaOutOfReachIsNoLostPath guards against requests that go through other VMs
+// because a single replica is down.
+func TestOneReplicaOutOfReachIsNoLostPath(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	fleet.store.Put("servers", "gone", []byte(`{"service":"tools","address":"127.0.0.1:9","zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":1}`))
+	for range 60 {
+		require.Equal(t, 200, fleet.send(0, "GET", "/read/1", nil).status)
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Regexp(t, replicaPathMetric, fleet.metrics(0))
+}
+
+// replicaPathMetric matches the metric of a path that is not lost.
+var replicaPathMetric = regexp.MustCompile(`(?m)^hornbeamvale_replica_path(?:\{[^}]*\})? 0$`)
--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -21,9 +21,11 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/replicapath"
 	"hornbeamvale.example/hornbeamvale/internal/process/settings"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/internal/request/detour"
 	"hornbeamvale.example/hornbeamvale/internal/request/fleetrpc"
 	"hornbeamvale.example/hornbeamvale/internal/request/placement"
 	"hornbeamvale.example/hornbeamvale/internal/request/relay"
@@ -81,6 +83,9 @@
 	ledger   *ledger.Ledger
 	peers    *peer.Manager
 	replicas *connection.ReplicaClient
+	path     *replicapath.Path
+	detour   *detour.Client
+	rpc      *fleetrpc.Server
 
 	callers, readiness, metrics *http.Server
 	// lastAccepted is when the last connection of a caller was accepted, as
@@ -145,6 +150,7 @@
 	wg.Go(func() { d.log.Run(running) })
 	wg.Go(func() { d.loop.Run(running) })
 	wg.Go(func() { d.ledger.Run(running) })
+	wg.Go(func() { d.path.Run(running) })
 	wg.Go(func() { d.store.Run(running, platform.RangeQuery{Table: fleet.MemberTable}) })
 	wg.Go(func() { reportFailure(failed, d.peers.Serve(running, listeners.peers)) })
 	wg.Go(func() { reportFailure(failed, d.callers.Serve(listeners.callers)) })
@@ -199,9 +205,9 @@
 // The ledger uses running for its background calls. It opens no listener.
 func newFleetDaemon(running context.Context, s settings.FleetVM, replicas *connection.ReplicaClient) (*fleetDaemon, error) {
 	log := decisionlog.New(nil)
-	server := &fleetrpc.Server{}
+	server := &fleetrpc.Server{Replicas: replicas}
 	d := &fleetDaemon{
-		settings: s, log: log, replicas: replicas, peers: peer.NewManager(s.VM, nil, server),
+		settings: s, log: log, replicas: replicas, peers: peer.NewManager(s.VM, nil, server), rpc: server,
 	}
 	d.store = storepath.New(connection.NewStoreClient(s.StoreAddress, userTimeout(s)), d.storeProxies, pathLog{log})
 	d.loop = fleet.NewLoop(fleet.Config{
@@ -211,7 +217,12 @@
 		Peers:     &fleetrpc.PeerClient{Manager: d.peers},
 		StoreDown: func() bool { return d.store.State() == storepath.Down },
 	})
-	server.Loop, server.Path = d.loop, d.store
+	d.path = replicapath.New(replicapath.Config{
+		Sample: d.loop.SampleReplicas, Dial: replicas.Reaches,
+		Changed: func(state replicapath.State) { d.replicaPathChanged(running, state) },
+	})
+	d.detour = &detour.Client{Direct: replicas, Path: d.path, Proxies: d.replicaProxies}
+	server.Loop, server.Path, server.ReplicaPath, server.MayForward = d.loop, d.store, d.path, d.loop.MayForward
 	d.ledger = ledger.New(running, d.store, ledger.Options{
 		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare,
 	})
@@ -221,7 +232,7 @@
 		return nil, err
 	}
 	relays := &relay.Server{
-		Loop: d.loop, Ledger: ledger.NewHomeRouter(d.ledger, log, d.home), Replicas: d.replicas, Store: d.store, Log: log, Metrics: instruments,
+		Loop: d.loop, Ledger: ledger.NewHomeRouter(d.ledger, log, d.home), Replicas: d.detour, Store: d.store, Log: log, Metrics: instruments,
 		ReplyMemory: relay.NewReplyMemory(int64(replyMemoryFraction * float64(s.MemoryBytes))),
 	}
 	d.callers = &http.Server{
@@ -294,6 +305,25 @@
 	return out
 }
 
+// replicaPathChanged logs that the path to the replicas was lost or is back. Idle
+// connections may have been lost with it.
+func (d *fleetDaemon) replicaPathChanged(ctx context.Context, state replicapath.State) {
+	d.log.State("Path to the replicas changed", "state", state)
+	d.replicas.CloseIdle()
+	_ = d.loop.Post(ctx, fleet.PathChanged{}) // fails only when the process ends
+}
+
+// replicaProxies returns the other VMs, through which requests can be sent to replicas.
+func (d *fleetDaemon) replicaProxies() []detour.Proxy {
+	var out []detour.Proxy
+	for _, member := range d.loop.Snapshot().Members {
+		if member.VM != d.settings.VM {
+			out = append(out, fleetrpc.ReplicaProxy{Manager: d.peers, Member: member})
+		}
+	}
+	return out
+}
+
 // storeShare returns this VM's equal share of the fleet's limit of write calls per
 // second at the store.
 func (d *fleetDaemon) storeShare() float64 {
@@ -340,7 +370,9 @@
 	// the last ones may just have been accepted.
 	_ = callers.Close()
 	clock.Sleep(ctx, acceptedPeriod)
-	if err := d.callers.Shutdown(ctx); err != nil {
+	err := d.callers.Shutdown(ctx)
+	d.rpc.StopForwarding(ctx)
+	if err != nil {
 		klog.ErrorS(err, "Requests were still running at the stop limit and are aborted", "stopTimeout", d.settings.StopTimeout, "abortFraction", abortFraction)
 	}
 }
--- a/cmd/hornbeamvaled/fleetmetrics.go
+++ b/cmd/hornbeamvaled/fleetmetrics.go
@@ -44,6 +44,8 @@
 	proxiedCalls := f.count("hornbeamvale_store_detours", "Calls of the store that went through another VM")
 	state := f.gauge("hornbeamvale_store_state", "Way to the store: 0 direct, 1 through other VMs, 2 down, 3 isolated")
 	dials := f.count("hornbeamvale_replica_connections", "Connections opened to replicas")
+	replicaPath := f.gauge("hornbeamvale_replica_path", "Way to the replicas: 0 direct, 1 through other VMs")
+	detours := f.count("hornbeamvale_replica_detours", "Requests to replicas that went through another VM")
 	if f.err != nil {
 		return nil, nil, f.err
 	}
@@ -67,11 +69,13 @@
 		o.ObserveInt64(retries, l.Retries)
 		o.ObserveInt64(homeCalls, l.HomeCalls)
 		o.ObserveInt64(homeFallbacks, l.HomeFallbacks)
+		o.ObserveInt64(replicaPath, int64(d.path.State()))
+		o.ObserveInt64(detours, d.detour.Detours())
 		o.ObserveInt64(dials, d.replicas.Dials())
 		o.ObserveInt64(proxiedCalls, d.store.ProxyCalls())
 		o.ObserveInt64(state, int64(d.store.State()))
 		return nil
-	}, cpu, events, version, age, replicas, limited, quarantined, members, ready, dropped, transactions, conflicts, reads, retries, homeCalls, homeFallbacks, dials, proxiedCalls, state)
+	}, cpu, events, version, age, replicas, limited, quarantined, members, ready, dropped, transactions, conflicts, reads, retries, homeCalls, homeFallbacks, replicaPath, detours, dials, proxiedCalls, state)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/connection/call/forward.go
+++ b/internal/connection/call/forward.go
@@ -101,7 +101,10 @@
 	Replica string
 	// Run is NotRun only if no byte of the request was written.
 	Run refusal.RunState
-	Err error
+	// PathLost says that this VM did not reach the replica, so that the error says nothing
+	// about the replica itself.
+	PathLost bool
+	Err      error
 }
 
 // Error implements error.
--- a/internal/connection/conntrack/conntrack.go
+++ b/internal/connection/conntrack/conntrack.go
@@ -30,6 +30,8 @@
 type Dialer struct {
 	dial  DialFunc
 	dials atomic.Int64
+	// received is when a connection last received bytes, as clock.Monotonic in nanoseconds.
+	received atomic.Int64
 
 	mu   sync.Mutex
 	open map[string]map[*Conn]struct{} // by remote address
@@ -54,6 +56,19 @@
 	return &Dialer{dial: dial, open: map[string]map[*Conn]struct{}{}}
 }
 
+// LastReceived returns when any connection last received bytes, as clock.Monotonic; 0 if
+// none has.
+func (d *Dialer) LastReceived() time.Duration { return time.Duration(d.received.Load()) }
+
+// Reaches connects to an address and closes the connection at once.
+func (d *Dialer) Reaches(ctx context.Context, address string) error {
+	c, err := d.dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT.
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
@@ -160,7 +175,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received.Store(clock.Monotonic().Nanoseconds())
+		now := clock.Monotonic().Nanoseconds()
+		c.received.Store(now)
+		c.dialer.received.Store(now)
 	}
 	return n, err
 }
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -50,7 +50,11 @@
 	ReplicaNoted  Type = 69 // reply to ReplicaNotice
 	CrashNotice   Type = 70 // tells another VM about requests that crash replicas
 	CrashNoted    Type = 71 // reply to CrashNotice
-	typeLimit          = 72 // one more than the largest type
+	ForwardAsk    Type = 72 // opens a stream and asks another VM to send a request to a replica
+	ForwardHead   Type = 73 // head of the replica's answer, or why there is none
+	ForwardBody   Type = 74 // part of the request's body or of the answer's
+	ForwardEnd    Type = 75 // end of the answer
+	typeLimit          = 76 // one more than the largest type
 )
 
 // role is what a message does when its stream id is new to the receiver.
@@ -64,7 +68,7 @@
 
 func (t Type) role() role {
 	switch t {
-	case TurnRequest:
+	case TurnRequest, ForwardAsk:
 		return roleStream
 	case RunEnd, RunSettle, LimitAsk, LimitRecall, LimitAccount, ConfigNotice, ConfigConfirm, SlotNotice, EventQuery, StatusQuery, ShareAsk, StoreAsk,
 		LedgerOpen, LedgerRecord, LedgerSettle, ReplicaNotice, CrashNotice:
--- a/internal/connection/peer/typenames.go
+++ b/internal/connection/peer/typenames.go
@@ -11,6 +11,7 @@
 	StoreAsk: "store_ask", StoreReply: "store_reply",
 	LedgerOpen: "ledger_open", LedgerRecord: "ledger_record", LedgerSettle: "ledger_settle", LedgerReply: "ledger_reply",
 	ReplicaNotice: "replica_notice", ReplicaNoted: "replica_noted", CrashNotice: "crash_notice", CrashNoted: "crash_noted",
+	ForwardAsk: "forward_ask", ForwardHead: "forward_head", ForwardBody: "forward_body", ForwardEnd: "forward_end",
 }
 
 // TypeNames returns the names of message types in metrics. LimitRecall and LimitAccount
--- a/internal/process/replica/registry.go
+++ b/internal/process/replica/registry.go
@@ -245,6 +245,31 @@
 	}
 }
 
+// ForgetFailures forgets the failures of all replicas. They say nothing about the replicas
+// if this VM could not reach any.
+func (r *Registry) ForgetFailures() {
+	for _, e := range r.entries {
+		e.failures = failureDetector{}
+	}
+}
+
+// Takes reports whether a replica is registered at an address and may get requests.
+func (r *Registry) Takes(now time.Time, id, address string) bool {
+	e := r.entries[id]
+	return e != nil && e.Address == address && !e.Leaving && !now.Before(e.misdirectedUntil)
+}
+
+// Addresses returns the addresses of the replicas that may get requests.
+func (r *Registry) Addresses() []string {
+	var out []string
+	for _, e := range r.entries {
+		if !e.Leaving {
+			out = append(out, e.Address)
+		}
+	}
+	return out
+}
+
 // Count returns the number of registered replicas.
 func (r *Registry) Count() int { return len(r.entries) }
 
--- a/internal/request/fleetrpc/fleetrpc.go
+++ b/internal/request/fleetrpc/fleetrpc.go
@@ -1,7 +1,7 @@
 // Package fleetrpc makes and answers the calls between the VMs of a fleet: loans of
 // customers' rates, notices of replicas' limits and of requests that crash replicas, calls
-// to the store for a VM that cannot reach it, and changes of programs' turns and budgets at
-// their home VM. It only encodes and decodes the calls; the decisions are in the packages
+// to the store and requests to replicas for a VM that cannot reach them, and changes of
+// programs' turns and budgets at their home VM. It only encodes and decodes the calls; the decisions are in the packages
 // fleet, storepath and ledger, and the connections in package peer.
 package fleetrpc
 
@@ -14,7 +14,9 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
 	"hornbeamvale.example/hornbeamvale/internal/process/quarantine"
+	"hornbeamvale.example/hornbeamvale/internal/process/replicapath"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
+	"hornbeamvale.example/hornbeamvale/internal/request/detour"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 )
 
@@ -32,9 +34,9 @@
 	Prefetched float64       `msgpack:"p,omitempty"`
 }
 
-// call makes one call to another VM. It encodes the request and decodes the answer into
+// callVM makes one call to another VM. It encodes the request and decodes the answer into
 // reply.
-func call(ctx context.Context, m *peer.Manager, to fleet.Member, t peer.Type, request, reply any) error {
+func callVM(ctx context.Context, m *peer.Manager, to fleet.Member, t peer.Type, request, reply any) error {
 	payload, err := peer.Encode(request)
 	if err != nil {
 		return err
@@ -72,7 +74,7 @@
 // Borrow implements fleet.PeerClient.
 func (l *PeerClient) Borrow(ctx context.Context, to fleet.Member, customer string, r fleet.LoanRequest) (fleet.Loan, error) {
 	var reply loanReply
-	if err := call(ctx, l.Manager, to, peer.ShareAsk, loanRequest{Customer: customer, MaxWait: r.MaxWait, Prefetch: r.Prefetch}, &reply); err != nil {
+	if err := callVM(ctx, l.Manager, to, peer.ShareAsk, loanRequest{Customer: customer, MaxWait: r.MaxWait, Prefetch: r.Prefetch}, &reply); err != nil {
 		return fleet.Loan{}, err
 	}
 	return fleet.Loan{Granted: reply.Granted, Wait: max(0, reply.Wait), Prefetched: max(0, reply.Prefetched)}, nil
@@ -81,13 +83,13 @@
 // Notify implements fleet.PeerClient.
 func (l *PeerClient) Notify(ctx context.Context, to fleet.Member, notices []fleet.LimitNotice) error {
 	var noted struct{}
-	return call(ctx, l.Manager, to, peer.ReplicaNotice, notices, &noted)
+	return callVM(ctx, l.Manager, to, peer.ReplicaNotice, notices, &noted)
 }
 
 // NotifyQuarantine implements fleet.PeerClient.
 func (l *PeerClient) NotifyQuarantine(ctx context.Context, to fleet.Member, notices []quarantine.Notice) error {
 	var noted struct{}
-	return call(ctx, l.Manager, to, peer.CrashNotice, notices, &noted)
+	return callVM(ctx, l.Manager, to, peer.CrashNotice, notices, &noted)
 }
 
 // StoreProxy makes calls to the store through one other VM. It implements
@@ -103,7 +105,7 @@
 // Make implements storepath.Proxy.
 func (p StoreProxy) Make(ctx context.Context, c storepath.Call) (storepath.Reply, error) {
 	var reply storepath.Reply
-	err := call(ctx, p.Manager, p.Member, peer.StoreAsk, c, &reply)
+	err := callVM(ctx, p.Manager, p.Member, peer.StoreAsk, c, &reply)
 	return reply, err
 }
 
@@ -112,10 +114,19 @@
 	Loop   *fleet.Loop
 	Path   *storepath.Path
 	Ledger *ledger.Ledger
+	// Replicas sends the requests of other VMs to replicas, ReplicaPath tells whether this
+	// VM reaches them.
+	Replicas    detour.Sender
+	ReplicaPath *replicapath.Path
+	// MayForward reports whether this VM may send a request of another VM to the replica at
+	// the address.
+	MayForward func(ctx context.Context, replica, address string) bool
+
+	forwarded forwardedRequests
 }
 
-// Stream implements peer.Handler. VMs of a fleet open no streams.
-func (s *Server) Stream(context.Context, string, *peer.Stream) {}
+// Stream implements peer.Handler. VMs of a fleet open streams to have requests forwarded.
+func (s *Server) Stream(ctx context.Context, _ string, stream *peer.Stream) { s.forward(ctx, stream) }
 
 // Call implements peer.Handler.
 func (s *Server) Call(ctx context.Context, _ string, m peer.Message) (peer.Message, error) {
--- a/internal/request/fleetrpc/home.go
+++ b/internal/request/fleetrpc/home.go
@@ -57,7 +57,7 @@
 // call makes a call to the home and converts its outcome to the ledger's error.
 func (h HomeClient) call(ctx context.Context, t peer.Type, request any) (ledger.History, error) {
 	var reply homeReply
-	if err := call(ctx, h.Manager, h.Member, t, request, &reply); err != nil {
+	if err := callVM(ctx, h.Manager, h.Member, t, request, &reply); err != nil {
 		return ledger.History{}, err
 	}
 	switch reply.Outcome {
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -233,7 +233,7 @@
 	reply, err := x.Replicas.Send(ctx, request)
 	x.steps.reply = clock.Since(a.startedAt)
 	if err != nil {
-		a.end.Failed = x.ctx.Err() == nil
+		a.end.Failed = x.ctx.Err() == nil && !pathLost(err)
 		if runStateOf(err) != refusal.NotRun {
 			x.noteCrash(a, err, false)
 		}
@@ -311,6 +311,12 @@
 	return refusal.Unknown
 }
 
+// pathLost reports whether an attempt failed because this VM does not reach the replicas.
+func pathLost(err error) bool {
+	var re *call.ReplicaError
+	return errors.As(err, &re) && re.PathLost
+}
+
 // readWhole reads the body of a reply, up to maxReplyBytes. A body over smallReplyBytes
 // needs room in the memory for large replies, so that replies without an end cannot
 // exhaust the VM's memory together.
--- a/internal/request/relay/quarantine.go
+++ b/internal/request/relay/quarantine.go
@@ -66,7 +66,7 @@
 // noteCrash records a run whose connection the replica broke. The snapshot contains it
 // afterwards, so that a further attempt sees it.
 func (x *exchange) noteCrash(a *attempt, err error, hasOutput bool) {
-	if x.ctx.Err() != nil || !call.ConnectionBroken(err) {
+	if x.ctx.Err() != nil || pathLost(err) || !call.ConnectionBroken(err) {
 		return
 	}
 	x.trial = false
