Refuse or answer late requests of a planned stop

What callers saw, as reported by other operators: requests that came late in a planned stop of one VM were taken and passed on, and cut without an answer at its end, also those that must not be repeated.

Cause: a request kept its own time limit, whatever was left until the running requests are aborted (0.93 of the time to stop).

Change: while the VM stops, a request is refused at once as not run, so that its caller tries another VM, if four times the usual service time of its kind, or else its own time limit, does not fit before 0.9 of the time to stop. Others have their deadline there, and get an answer in place of a cut connection.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -61,6 +61,9 @@
 	// abortFraction is the fraction of the stop timeout after which running requests are
 	// aborted, so that the process exits before the platform kills it.
 	abortFraction = 0.93
+	// answerFraction is the fraction of the stop timeout by which every request has to be
+	// answered: a caller that gets an error knows more than one whose connection is cut.
+	answerFraction = 0.9
 	// undeliveredFraction is the fraction of the drain time after which a connection is
 	// closed whose sent bytes are not acknowledged. A request that a broken link holds back
 	// thus arrives before the drain time of a replica that began to leave meanwhile has
@@ -354,7 +357,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), part(abortFraction))
 	defer cancel()
 	done := make(chan struct{})
-	if d.loop.Post(ctx, fleet.PrepareStop{Done: done}) != nil {
+	if d.loop.Post(ctx, fleet.PrepareStop{StopAt: begun.Add(part(answerFraction)), Done: done}) != nil {
 		return
 	}
 	select {
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -80,8 +80,10 @@
 	Table *routing.Table
 	// ConfirmedAt is when the store last confirmed that Table is the newest version.
 	ConfirmedAt time.Time
-	// Draining is set when a graceful shutdown has begun.
+	// Draining is set when a graceful shutdown has begun. StopAt is when every request has
+	// to be answered then; zero before.
 	Draining bool
+	StopAt   time.Time
 	// Members are the members of the fleet, including this VM, ordered by address.
 	Members []Member
 	// SharesUsable is set if this VM may use its shares of the customers' rates.
@@ -153,6 +155,7 @@
 	table        *routing.Table
 	confirmed    time.Time // when the store last confirmed that table is the newest version
 	draining     bool
+	stopAt       time.Time // when every request has to be answered, while draining
 	replicas     *replica.Registry
 	serviceTimes map[string]*serviceTime  // by kind of request
 	rates        map[string]*rateShare    // by customer
@@ -202,18 +205,22 @@
 func (s *State) publish() {
 	s.unpublished = false
 	s.loop.snapshot.Store(&Snapshot{
-		Table: s.table, ConfirmedAt: s.confirmed, Draining: s.draining,
+		Table: s.table, ConfirmedAt: s.confirmed, Draining: s.draining, StopAt: s.stopAt,
 		Members: s.members.all(), SharesUsable: s.members.usable, ReplicaCount: s.replicas.Count(), LimitedReplicas: len(s.limits),
 		Quarantine: s.currentQuarantine(),
 	})
 }
 
 // PrepareStop is the event that begins a graceful shutdown: the VM is no longer ready.
-type PrepareStop struct{ Done chan<- struct{} }
+type PrepareStop struct {
+	// StopAt is when every request has to be answered.
+	StopAt time.Time
+	Done   chan<- struct{}
+}
 
 // Apply implements Event.
 func (e PrepareStop) Apply(s *State, _ time.Time) {
-	s.draining = true
+	s.draining, s.stopAt = true, e.StopAt
 	s.publish()
 	close(e.Done)
 }
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 )
 
@@ -10,6 +11,10 @@
 // kind of request.
 const serviceTimeWeight = 0.05
 
+// stopServiceTimes is how many times the usual service time a request has to have left
+// before the VM stops. Requests of a kind differ in length.
+const stopServiceTimes = 4
+
 // PickRequest describes the request for which a replica is chosen.
 type PickRequest struct {
 	ID, Endpoint string
@@ -32,6 +37,8 @@
 	Excluded map[string]bool
 	// MaxWait is how long the request may wait for a replica that limits its requests.
 	MaxWait time.Duration
+	// Limit is the end of the request's own time limit, without regard to a stop.
+	Limit time.Time
 }
 
 // PickResult is the reply to a Pick.
@@ -46,6 +53,8 @@
 	// RetryIn is set if no replica was chosen because those that would take requests limit
 	// them. It is the time until one of them takes another one.
 	RetryIn time.Duration
+	// TooLate is set if this VM stops before the request would probably have ended.
+	TooLate bool
 }
 
 // Expired returns whether the request may no longer be sent, because the process was
@@ -72,9 +81,26 @@
 			e.Request.RelativeTime = t.batch.Relative
 		}
 	}
+	if s.stopsBefore(now, e.Request) {
+		e.Reply <- PickResult{TooLate: true, ListedReplicas: len(candidates)}
+		return
+	}
 	e.Reply <- s.pick(now, e.Request, candidates)
 }
 
+// stopsBefore reports whether the VM stops before a request that is sent now would probably
+// have ended. Without a usual service time, a request may take its whole time limit.
+func (s *State) stopsBefore(now time.Time, r PickRequest) bool {
+	if !s.draining {
+		return false
+	}
+	end := r.Limit
+	if r.ServiceTime > 0 {
+		end = clock.Earlier(end, now.Add(stopServiceTimes*r.ServiceTime))
+	}
+	return end.After(s.stopAt)
+}
+
 // pick chooses a replica without a limit or with a free token of its limit. If there is
 // none, it reserves a token that will be free in time.
 func (s *State) pick(now time.Time, r PickRequest, candidates []replica.Candidate) PickResult {
--- a/internal/request/relay/admit.go
+++ b/internal/request/relay/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
@@ -35,6 +36,10 @@
 	if timeout > 0 {
 		x.deadline = x.request.Received.Add(timeout - answerMargin)
 	}
+	x.limit = x.deadline
+	if s.Draining {
+		x.deadline = clock.Earlier(x.deadline, s.StopAt)
+	}
 	if route.Open {
 		return nil
 	}
--- a/internal/request/relay/dispatch.go
+++ b/internal/request/relay/dispatch.go
@@ -115,6 +115,7 @@
 	request := fleet.PickRequest{
 		ID: x.request.ID, Endpoint: x.endpoint, PromptTokens: x.request.PromptTokens,
 		Excluded: excluded, CachedTokens: x.cachedTokens(), Program: x.request.Program.ID, LineTokens: lineTokens(x.request),
+		Limit: x.limit,
 	}
 	for retries := 0; ; retries++ {
 		if clock.Until(x.deadline) < minRemaining {
@@ -129,6 +130,9 @@
 		if picked.OK && x.awaitStart(picked) {
 			return picked.Replica, nil
 		}
+		if picked.TooLate {
+			return replica.Candidate{}, refusal.New(refusal.Stopping, "this VM stops before the request would have ended").After(stoppingRetryAfter)
+		}
 		if picked.RetryIn > 0 {
 			return replica.Candidate{}, refusal.New(refusal.Overloaded, "the replicas of %q that take requests are at their limits", x.endpoint).
 				After(min(max(defaultRetryAfter, picked.RetryIn), maxLimitRetryAfter))
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -45,6 +45,9 @@
 	// isolatedRetryAfter is the time after which a caller should try another VM because
 	// this one is isolated.
 	isolatedRetryAfter = 10 * time.Millisecond
+	// stoppingRetryAfter is the time after which a caller should try another VM because this
+	// one stops before its request would have ended.
+	stoppingRetryAfter = 10 * time.Millisecond
 	// storeTimeout bounds the wait of a turn for the store before it is dispatched, and
 	// storeRetryAfter is the time after which its caller should repeat the request.
 	// Outages of the store last seconds: a caller that is refused at once gives up
@@ -89,6 +92,7 @@
 	*Server
 	ctx      context.Context
 	deadline time.Time
+	limit    time.Time // the deadline without regard to a stop of this VM
 	request  *call.ForwardedRequest
 	answer   call.ResponseWriter
 	table    *routing.Table
