Send nothing on a connection that is being closed as silent

Cause: CloseSilent closes connections from outside the pool. A request that takes one before the pool has seen the close wrote to a closed socket, and the bytes were counted as written, so the request was reported as possibly run although nothing of it was sent. Between the choice of the idle connections and their close, a request could also begin on one and be cut.

Change: the begin of a write and the decision to close a connection exclude each other. After the decision nothing is written or counted, so the request is 'not run' and goes out on another connection; a connection on which a request has begun is spared. This holds for all three users of CloseSilent (replicas, endpoints, store). The other closings from outside are the transport's own and those of connections between VMs, whose frames are withdrawn.

--- a/internal/connection/conntrack/conntrack.go
+++ b/internal/connection/conntrack/conntrack.go
@@ -130,14 +130,18 @@
 		}
 	}
 	d.mu.Unlock()
-	closing := idle
-	if allSilent && scope == WaitingIfAllSilent {
-		closing = append(closing, waiting...)
+	withWaiting := allSilent && scope == WaitingIfAllSilent
+	if withWaiting {
+		idle = append(idle, waiting...)
 	}
-	for _, c := range closing {
-		_ = c.Close()
+	closed := 0
+	for _, c := range idle {
+		if c.condemn(since, withWaiting) {
+			_ = c.Close()
+			closed++
+		}
 	}
-	return len(closing)
+	return closed
 }
 
 func (d *Dialer) remove(c *Conn) {
@@ -155,6 +159,9 @@
 	dialer  *Dialer
 	address string
 	written atomic.Int64 // bytes
+	// mu orders the begin of a write and the decision to close the connection.
+	mu        sync.Mutex
+	condemned bool // nothing may be written any more
 	// sent and received are the times of the last write and of the last read that returned
 	// bytes, as clock.Monotonic in nanoseconds.
 	sent, received atomic.Int64
@@ -163,12 +170,40 @@
 // Written returns the number of bytes of all writes that have begun.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A pool may hand out a connection that is being closed as
+// silent, since it sees the close later; nothing is sent on it then, nor counted as written.
 func (c *Conn) Write(p []byte) (int, error) {
+	if !c.beginWrite(len(p)) {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite counts a write that is about to begin. It returns false if the connection is
+// condemned.
+func (c *Conn) beginWrite(bytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.condemned {
+		return false
+	}
 	// A failed write may have sent a part.
-	c.written.Add(int64(len(p)))
+	c.written.Add(int64(bytes))
 	c.sent.Store(clock.Monotonic().Nanoseconds())
-	return c.Conn.Write(p)
+	return true
+}
+
+// condemn forbids further writes if the connection has received nothing since the given
+// time and, unless withWaiting is set, does not wait for an answer. A request that begins
+// at the same time has either begun, and is spared, or sends nothing.
+func (c *Conn) condemn(since time.Duration, withWaiting bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receivedSince(since) || c.waiting() && !withWaiting {
+		return false
+	}
+	c.condemned = true
+	return true
 }
 
 // Read implements net.Conn.
--- /dev/null
+++ b/internal/connection/conntrack/late_test.go
@@ -0,0 +1,54 @@
+package conntrack
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
+)
+
+// dialPipe returns a tracked connection whose other end reads and drops what is written.
+func dialPipe(t *testing.T) (*Dialer, *Conn) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go func() {
+		buffer := make([]byte, 64)
+		for {
+			if _, err := far.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	d := NewDialerWith(func(context.Context, string, string) (net.Conn, error) { return near, nil })
+	c, err := d.DialContext(t.Context(), "tcp", "a")
+	require.NoError(t, err)
+	return d, c.(*Conn)
+}
+
+// TestWriteAfterCloseSilentCountsNothing guards against a request that takes a connection
+// from a pool which has not seen its close yet, and is reported as possibly run although
+// nothing of it was sent.
+func TestWriteAfterCloseSilentCountsNothing(t *testing.T) {
+	d, c := dialPipe(t)
+	require.Equal(t, 1, d.CloseSilent("a", clock.Monotonic()+1, IdleOnly))
+	n, err := c.Write([]byte("request"))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.Zero(t, n)
+	require.Zero(t, c.Written())
+}
+
+// TestRequestThatHasBegunIsNotCut guards against a request that begins on an idle
+// connection between the choice of the connections that are closed and their close.
+func TestRequestThatHasBegunIsNotCut(t *testing.T) {
+	_, c := dialPipe(t)
+	since := clock.Monotonic() + 1
+	require.False(t, c.waiting())
+	_, err := c.Write([]byte("request"))
+	require.NoError(t, err)
+	require.False(t, c.condemn(since, false), "chosen while it was idle")
+	_, err = c.Write([]byte("more of it"))
+	require.NoError(t, err)
+}
