--- a/cmd/hornbeamvaled/cutoff_test.go
+++ b/cmd/hornbeamvaled/cutoff_test.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// silence drops all further bytes of the connections that are open now. New ones work.
+func (n *replicaNetwork) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, link := range n.links {
+		link.Silence(linkSource)
+	}
+}
+
 func (n *replicaNetwork) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
