Refuse to forward a request before its body is read

Cause: a VM that cannot help another one with a request (RECOVER) read the whole body before it said so, outside the bound on forwarded requests; a body above the limit ended in an unknown run state although nothing was sent.

Change: the refusal comes before the body, which is read only within the bound. The asking VM looks for the refusal also when it could not send the whole body.

Measured: TestVMThatCannotHelpSendsNothing with a large body failed with 'unknown' and passes.

--- a/internal/request/fleetrpc/forward.go
+++ b/internal/request/fleetrpc/forward.go
@@ -1,6 +1,7 @@
 package fleetrpc
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -130,12 +131,11 @@
 // receiveHead sends the body and returns the answer of the replica, whose body is still to
 // be read.
 func (p ReplicaProxy) receiveHead(ctx context.Context, stream *peer.Stream, r call.ReplicaRequest) (*call.ReplicaResponse, error) {
-	if err := peer.SendLarge(ctx, stream, peer.Message{Type: peer.ForwardBody, Payload: r.Prompt}); err != nil {
-		return nil, lostOnTheWay(r, err)
-	}
+	sendErr := peer.SendLarge(ctx, stream, peer.Message{Type: peer.ForwardBody, Payload: r.Prompt})
+	// A VM that cannot help says so, and closes the stream, before it reads the body.
 	message, err := stream.Recv(ctx)
 	if err != nil {
-		return nil, lostOnTheWay(r, err)
+		return nil, lostOnTheWay(r, cmp.Or(sendErr, err))
 	}
 	var head forwardHead
 	if err := peer.Decode(message.Payload, &head); err != nil {
@@ -270,6 +270,12 @@
 		return
 	}
 	defer s.forwarded.end()
+	body, err := peer.RecvLarge(ctx, stream, maxForwardedBody)
+	if err != nil {
+		stream.Cancel()
+		return
+	}
+	request.Prompt = body.Payload
 	ctx, cancel := context.WithTimeout(ctx, request.TimeLeft)
 	defer cancel()
 	request.TimeLeft -= clock.Since(received)
@@ -334,7 +340,7 @@
 	return stream.Send(ctx, peer.Message{Type: t, Payload: data})
 }
 
-// receiveForward receives a request that is to be forwarded.
+// receiveForward receives a request that is to be forwarded, without its body.
 func receiveForward(ctx context.Context, stream *peer.Stream) (call.ReplicaRequest, error) {
 	first, err := stream.Recv(ctx)
 	if err != nil {
@@ -344,15 +350,11 @@
 	if err := peer.Decode(first.Payload, &f); err != nil {
 		return call.ReplicaRequest{}, err
 	}
-	body, err := peer.RecvLarge(ctx, stream, maxForwardedBody)
-	if err != nil {
-		return call.ReplicaRequest{}, err
-	}
 	return call.ReplicaRequest{
 		ForwardedRequest: &call.ForwardedRequest{
 			ID: f.ID, Method: f.Method, Host: f.Host, Path: f.Path, Query: f.Query, Headers: f.Headers,
 		},
-		Prompt: body.Payload, Customer: f.Customer, Replica: f.Replica, Address: f.Address,
+		Customer: f.Customer, Replica: f.Replica, Address: f.Address,
 		TimeLeft: f.TimeLeft, Urgency: f.Urgency, ResumeAfter: f.ResumeAfter,
 	}, nil
 }
--- a/internal/request/fleetrpc/forward_test.go
+++ b/internal/request/fleetrpc/forward_test.go
@@ -186,8 +186,10 @@
 	} {
 		f := newForwardFixture(t)
 		prepare(f)
-		_, err := f.send(t.Context(), "x")
-		require.ErrorIs(t, err, detour.ErrCannotHelp, name)
+		for _, body := range []string{"x", strings.Repeat("large", 2_000_000)} {
+			_, err := f.send(t.Context(), body)
+			require.ErrorIs(t, err, detour.ErrCannotHelp, name)
+		}
 		require.Nil(t, f.got.ForwardedRequest, name)
 	}
 }
