--- a/internal/process/replicapath/replicapath_test.go
+++ b/internal/process/replicapath/replicapath_test.go
@@ -112,8 +112,8 @@
 	})
 }
 
-// TestOnlyReplicaIsNoLostPath guards against a verdict from a single replica, or from none.
-func TestOnlyReplicaIsNoLostPath(t *testing.T) {
+// TestNoReplicaIsNoLostPath guards against a detour when there is no replica to reach.
+func TestNoReplicaIsNoLostPath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		path, _ := newNetwork(0).path()
 		require.Equal(t, Direct, path.Test(t.Context()))
