review: Show that turns are deleted before their retention ends

How long a program's turns must be kept is known only to the process that recorded them. After a restart, a turn on a route with a shorter retention makes the new process delete the older turns too.

--- a/review/driver/config.go
+++ b/review/driver/config.go
@@ -5,7 +5,7 @@
 	host         = "ficu95.example"
 	turnPath     = "/pufi791/"
 	statusPath   = "/pule252/"
-	payoutPath   = "/puxa403/"
+	longPath     = "/gono990/"
 	modelService = "huvo11a"
 	plainService = "wuno96b"
 	chunkTokens  = 14
