--- a/review/driver/case_lockout_test.go
+++ b/review/driver/case_lockout_test.go
@@ -24,10 +24,9 @@
 
 func lockout(ctx context.Context, c *world) (bool, error) {
 	all := newRuns(c.record)
-	all.quiet = true
 	var replicas []*replica
 	for i := range 5 {
-		r, err := startReplica(ctx, c.net.prefix+"2", "annotto-bay", fmt.Sprintf("i-%02d", i), replicaKind{
+		r, err := startReplica(c.net.prefix+"2", "annotto-bay", fmt.Sprintf("i-%02d", i), replicaKind{
 			service: modelService, slots: 8, work: 15 * time.Millisecond, events: 5, gap: 8 * time.Millisecond,
 		}, c.store, all)
 		if err != nil {
@@ -66,7 +65,7 @@
 	}
 	for _, t := range tenants[1:] {
 		wait.Go(func() {
-			c.arrivals(traffic, &wait, log, 0.45, programPlan{tenant: t.Name, key: t.APIKeys[0], zone: "annotto-bay", turns: 9, pause: 1500 * time.Millisecond, aim: 16 * time.Second, noted: true})
+			c.arrivals(traffic, &wait, log, 0.45, programPlan{tenant: t.Name, key: t.APIKeys[0], zone: "annotto-bay", turns: 9, pause: 1500 * time.Millisecond, aim: 16 * time.Second})
 		})
 	}
 	if !sleep(ctx, lockoutBefore) {
--- a/review/driver/case_quota_test.go
+++ b/review/driver/case_quota_test.go
@@ -37,7 +37,7 @@
 func quota(ctx context.Context, c *world) (bool, error) {
 	all := newRuns(c.record)
 	for i := range 4 {
-		if _, err := startReplica(ctx, c.net.prefix+"2", "annotto-bay", fmt.Sprintf("i-%02d", i), replicaKind{
+		if _, err := startReplica(c.net.prefix+"2", "annotto-bay", fmt.Sprintf("i-%02d", i), replicaKind{
 			service: plainService, slots: 32, work: 5 * time.Millisecond,
 		}, c.store, all); err != nil {
 			return false, err
--- a/review/driver/case_return_test.go
+++ b/review/driver/case_return_test.go
@@ -21,7 +21,7 @@
 func returning(ctx context.Context, c *world) (bool, error) {
 	all := newRuns(c.record)
 	for i := range 3 {
-		if _, err := startReplica(ctx, c.net.prefix+"2", "annotto-bay", fmt.Sprintf("i-%02d", i), replicaKind{
+		if _, err := startReplica(c.net.prefix+"2", "annotto-bay", fmt.Sprintf("i-%02d", i), replicaKind{
 			service: modelService, slots: 8, work: 10 * time.Millisecond, events: 5, gap: 2 * time.Millisecond,
 		}, c.store, all); err != nil {
 			return false, err
--- a/review/driver/fleet_test.go
+++ b/review/driver/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -66,9 +67,10 @@
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	started time.Time // of the present process; zero without one
-	starts  int
-	crashes int // ends that the test did not cause
-	killed  bool
+	// settings is the text of the settings file. first is set until the first start of a
+	// machine with which the whole system starts for the first time.
+	settings string
+	first    bool
 }
 
 // deployCommand returns the run command of the deploy file.
@@ -96,7 +98,7 @@
 region = "jm-north"
 internal_ports = [%[4]d,%[5]d]
 seeds = []
-bootstrap = %[6]t
+bootstrap = BOOTSTRAP
 fault_counted = false
 discovery = "platform"
 entry = "vip"
@@ -109,8 +111,8 @@
 highgate = "jm-north"
 
 [listen]
-frontend = "%[7]s"
-ready = "%[8]s"
+frontend = "%[6]s"
+ready = "%[7]s"
 
 [limits]
 cpu_share = 0.8
@@ -149,7 +151,7 @@
 settle_ms = 1000
 
 [platform]
-address = "%[9]s"
+address = "%[8]s"
 form = "table"
 writes_per_s = 800
 reads_per_s = 2000
@@ -163,8 +165,8 @@
 blob_mb_s = 80.0
 `
 
-// newMachine writes the settings of a machine.
-func (c *world) newMachine(index int, zone string) (*machine, error) {
+// newMachine returns a machine that is not started yet.
+func (c *world) newMachine(index int, zone string) *machine {
 	ip := fmt.Sprintf("%s%d", c.net.prefix, 10+index)
 	m := &machine{
 		name: fmt.Sprintf("edge-%s-%d", zone, index+1), zone: zone, ip: ip, root: c.root, command: c.command, record: c.record,
@@ -172,12 +174,18 @@
 	}
 	m.file = filepath.Join(c.dir, m.name+".toml")
 	m.log = filepath.Join(c.dir, m.name+".log")
-	text := fmt.Sprintf(settingsText, m.name, ip, zone, c.net.port+100, c.net.port+115, true, m.frontend, m.ready, c.store.address)
-	return m, os.WriteFile(m.file, []byte(text), 0o600)
+	m.settings = fmt.Sprintf(settingsText, m.name, ip, zone, c.net.port+100, c.net.port+115, m.frontend, m.ready, c.store.address)
+	m.first = !c.running
+	return m
 }
 
-// start starts the process of the machine.
+// start writes the settings of the machine and starts its process.
 func (m *machine) start() error {
+	text := strings.ReplaceAll(m.settings, "BOOTSTRAP", strconv.FormatBool(m.first))
+	m.first = false
+	if err := os.WriteFile(m.file, []byte(text), 0o600); err != nil {
+		return err
+	}
 	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -192,17 +200,13 @@
 	}
 	ended := make(chan struct{})
 	m.mu.Lock()
-	m.cmd, m.ended, m.started, m.killed = cmd, ended, time.Now(), false
-	m.starts++
+	m.cmd, m.ended, m.started = cmd, ended, time.Now()
 	m.mu.Unlock()
 	m.record.line("machine %s: process %d starts", m.name, cmd.Process.Pid)
 	go func() {
 		err := cmd.Wait()
 		m.mu.Lock()
 		m.started = time.Time{}
-		if !m.killed {
-			m.crashes++
-		}
 		m.mu.Unlock()
 		m.record.line("machine %s: process ends: %v", m.name, err)
 		close(ended)
@@ -214,7 +218,6 @@
 func (m *machine) kill() {
 	m.mu.Lock()
 	cmd, ended := m.cmd, m.ended
-	m.killed = true
 	m.mu.Unlock()
 	if cmd == nil {
 		return
@@ -303,17 +306,22 @@
 func (b *balancer) choose(zone, consumer string, tried map[*machine]bool) *machine {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var all, rotation []*machine
+	var all, rotation, elsewhere []*machine
 	for _, m := range b.machines {
-		if m.zone != zone {
-			continue
-		}
-		all = append(all, m)
-		if b.in[m] {
-			rotation = append(rotation, m)
+		switch {
+		case m.zone != zone && b.in[m]:
+			elsewhere = append(elsewhere, m)
+		case m.zone != zone:
+		case b.in[m]:
+			all, rotation = append(all, m), append(rotation, m)
+		default:
+			all = append(all, m)
 		}
 	}
-	if 2*len(rotation) < len(all) {
+	switch {
+	case len(rotation) == 0 && len(elsewhere) > 0:
+		rotation = elsewhere
+	case 2*len(rotation) < len(all):
 		rotation = all
 	}
 	var fresh []*machine
--- a/review/driver/main_test.go
+++ b/review/driver/main_test.go
@@ -37,6 +37,7 @@
 	store     *store
 	balancer  *balancer
 	machines  []*machine
+	running   bool // the system has started
 }
 
 // body runs a case and returns whether the rule was broken.
@@ -123,10 +124,7 @@
 
 // addMachine starts a machine and lets the balancer use it.
 func (c *world) addMachine(zone string) (*machine, error) {
-	m, err := c.newMachine(len(c.machines), zone)
-	if err != nil {
-		return nil, err
-	}
+	m := c.newMachine(len(c.machines), zone)
 	c.machines = append(c.machines, m)
 	c.balancer.add(m)
 	return m, m.start()
@@ -143,6 +141,7 @@
 			return ctx.Err()
 		}
 	}
+	c.running = true
 	return nil
 }
 
--- a/review/driver/program_test.go
+++ b/review/driver/program_test.go
@@ -46,7 +46,6 @@
 	turns             int
 	pause             time.Duration
 	aim               time.Duration
-	noted             bool // its requests are written to the record
 }
 
 // runProgram runs one program as a consumer does.
@@ -93,10 +92,8 @@
 				return false
 			}
 			t.tries = append(t.tries, r)
-			if p.noted {
-				c.record.at(r.sent, "consumer sends turn %d of %s tenant=%s id=%s previous=%s to %s -> status=%d whole=%t retry-after=%s after %s err=%v",
-					t.index, t.program, p.tenant, r.id, t.previous, m.name, r.status, r.whole, r.retryAfter, r.ended.Sub(r.sent).Round(time.Millisecond), r.err)
-			}
+			c.record.at(r.sent, "consumer sends turn %d of %s tenant=%s id=%s previous=%s to %s -> status=%d whole=%t retry-after=%s after %s err=%v",
+				t.index, t.program, p.tenant, r.id, t.previous, m.name, r.status, r.whole, r.retryAfter, r.ended.Sub(r.sent).Round(time.Millisecond), r.err)
 			if r.ok() {
 				t.answered = r.id
 				return true
--- a/review/driver/replica_test.go
+++ b/review/driver/replica_test.go
@@ -1,7 +1,6 @@
 package driver
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,21 +12,20 @@
 )
 
 const (
-	heartbeat    = 1200 * time.Millisecond
 	replicaQueue = 24
+	replicaIdle  = 10 * time.Second
 )
 
 // run is one request that a replica has run.
 type run struct {
-	id, tenant, previous, replica string
-	body                          string // digest
-	at                            time.Time
+	id, tenant, replica string
+	body                string // digest
+	at                  time.Time
 }
 
 // runs collects the runs of all replicas.
 type runs struct {
 	record *record
-	quiet  bool // single runs are not written to the record
 
 	mu   sync.Mutex
 	all  []run
@@ -45,9 +43,7 @@
 	x.all = append(x.all, r)
 	x.byID[r.id]++
 	x.last[r.id] = r.body
-	if !x.quiet {
-		x.record.at(r.at, "replica %s runs %s tenant=%s previous=%s", r.replica, r.id, r.tenant, r.previous)
-	}
+	x.record.at(r.at, "replica %s runs %s tenant=%s body=%s", r.replica, r.id, r.tenant, r.body)
 }
 
 // count returns how often a request has run.
@@ -81,12 +77,11 @@
 	runs              *runs
 	slots             chan struct{}
 	waiting           atomic.Int64
-	most              atomic.Int64 // requests running or waiting at the same time
 	born              int64
 }
 
-// startReplica starts a replica and registers it until ctx ends.
-func startReplica(ctx context.Context, ip, zone, id string, kind replicaKind, s *store, all *runs) (*replica, error) {
+// startReplica starts a replica and registers it.
+func startReplica(ip, zone, id string, kind replicaKind, s *store, all *runs) (*replica, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
@@ -95,24 +90,19 @@
 		id: id, address: l.Addr().String(), zone: zone, kind: kind, runs: all,
 		slots: make(chan struct{}, kind.slots), born: time.Now().UnixMilli(),
 	}
-	server := &http.Server{Handler: r, IdleTimeout: 10 * time.Second}
+	server := &http.Server{Handler: r, IdleTimeout: replicaIdle}
 	go func() { _ = server.Serve(l) }()
-	go r.register(ctx, s)
+	r.register(s)
 	return r, nil
 }
 
-// register writes the replica's entry every heartbeat.
-func (r *replica) register(ctx context.Context, s *store) {
-	for sequence := 1; ctx.Err() == nil; sequence++ {
-		s.put("servers", r.id, map[string]any{
-			"service": r.kind.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.kind.slots,
-			"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": r.born,
-		})
-		select {
-		case <-ctx.Done():
-		case <-time.After(heartbeat):
-		}
-	}
+// register writes the replica's entry. The store's row changes only if more than its
+// sequence does, so one write is enough for a replica that stays as it is.
+func (r *replica) register(s *store) {
+	s.put("servers", r.id, map[string]any{
+		"service": r.kind.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.kind.slots,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": r.born,
+	})
 }
 
 // ServeHTTP implements http.Handler.
@@ -124,6 +114,7 @@
 		return
 	}
 	h.Set("Hornbeamvale-Instance-Id", r.id)
+	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(replicaIdle.Seconds())))
 	if q.URL.Path == "/healthz" {
 		return
 	}
@@ -139,8 +130,6 @@
 	}
 	present := r.waiting.Add(1)
 	defer r.waiting.Add(-1)
-	for most := r.most.Load(); present > most && !r.most.CompareAndSwap(most, present); most = r.most.Load() {
-	}
 	r.setLoad(h)
 	if present > int64(r.kind.slots+replicaQueue) {
 		h.Set("Hornbeamvale-Not-Executed", "1")
@@ -154,7 +143,7 @@
 		return
 	}
 	r.runs.add(run{
-		id: id, tenant: q.Header.Get("Hornbeamvale-Tenant"), previous: q.Header.Get("Hornbeamvale-Previous-Turn"),
+		id: id, tenant: q.Header.Get("Hornbeamvale-Tenant"),
 		replica: r.id, body: digestOf(string(body)), at: time.Now(),
 	})
 	h.Set("Hornbeamvale-Response-Signature", "signed."+r.id+"."+id)
