ledger: Release an account before its callers get their results

Cause: finish handed the results of a transaction to the callers and cleared the account's busy flag afterwards. A caller that went on at once could meet a busy account.

Measured: TestAccountIsReleasedBeforeItsCallersGoOn holds the ledger's lock while a transaction finishes; it fails on the code before ('the caller got its result while the account was busy') and passes now. Tests of the package pass with the race detector.

--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -250,12 +250,14 @@
 			l.retry(u, nil)
 			continue
 		}
+		u.value, u.changes = value, applied
+		if len(applied) == 0 {
+			l.finish(u, nil)
+		}
 		for c, err := range rejected {
 			c.done <- err
 		}
-		u.value, u.changes = value, applied
 		if len(applied) == 0 {
-			l.finish(u, nil)
 			continue
 		}
 		var err error
@@ -289,17 +291,23 @@
 	})
 }
 
-// finish returns the result to the callers of the changes. It queues the account again
-// if more changes arrived meanwhile.
+// finish returns the result to the callers of the changes, after it has released the
+// account: a caller that goes on at once finds it idle. It queues the account again if
+// more changes arrived meanwhile.
 func (l *Ledger) finish(u accountUpdate, err error) {
+	l.release(u.account)
 	for _, c := range u.changes {
 		c.done <- err
 	}
+}
+
+// release ends the use of an account by a transaction.
+func (l *Ledger) release(a *account) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	u.account.backoff, u.account.busy = retryDelay, false
-	if len(u.account.queue) > 0 {
-		l.enqueue(u.account)
+	a.backoff, a.busy = retryDelay, false
+	if len(a.queue) > 0 {
+		l.enqueue(a)
 	}
 }
 
--- a/internal/process/ledger/expiry_test.go
+++ b/internal/process/ledger/expiry_test.go
@@ -47,3 +47,24 @@
 	_, err = newLedger().History(t.Context(), g, "parish", "1")
 	require.ErrorIs(t, err, ErrTurnNotFound, "rows are kept forever")
 }
+
+// TestAccountIsReleasedBeforeItsCallersGoOn guards against a caller that has its result and
+// still meets a busy account, which the search for expired accounts then passes over.
+func TestAccountIsReleasedBeforeItsCallersGoOn(t *testing.T) {
+	l := New(t.Context(), nil, Options{})
+	a, c := &account{busy: true}, &change{done: make(chan error, 1)}
+	l.mu.Lock()
+	go l.finish(accountUpdate{account: a, changes: []*change{c}}, nil)
+	select {
+	case <-c.done:
+		t.Error("the caller got its result while the account was busy")
+	case <-time.After(100 * time.Millisecond):
+	}
+	l.mu.Unlock()
+	if !t.Failed() {
+		require.NoError(t, <-c.done)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		require.False(t, a.busy)
+	}
+}
