ledger: Log the deletion of expired programs

Change: one line for each deletion, with the group, the number of rows, the revision of the account and the outcome; a failed read is logged as well.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -227,7 +227,7 @@
 	d.detour = &detour.Client{Direct: replicas, Path: d.path, Proxies: d.replicaProxies}
 	server.Loop, server.Path, server.ReplicaPath, server.MayForward = d.loop, d.store, d.path, d.loop.MayForward
 	d.ledger = ledger.New(running, d.store, ledger.Options{
-		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare,
+		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare, Log: log,
 	})
 	server.Ledger = d.ledger
 	instruments, metrics, err := d.newMetrics()
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -175,7 +175,11 @@
 // that VM then deletes them. Rows that remain after a failure only take up space.
 func (l *Ledger) remove(ctx context.Context, g turntree.Group, revision uint64) {
 	page, err := l.readGroup(ctx, g)
-	if err != nil || len(page.Rows) == 0 {
+	if err != nil {
+		l.options.Log.Request("Failed to read an expired program", "group", g, "err", err)
+		return
+	}
+	if len(page.Rows) == 0 {
 		return
 	}
 	key := accountKey(g)
@@ -189,5 +193,7 @@
 	tx.Writes = tx.Writes[:min(len(tx.Writes), maxWrites)]
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, _ = l.store.Transact(callCtx, platform.PartitionTx{Part: g.Partition(), Tx: tx})
+	result, err := l.store.Transact(callCtx, platform.PartitionTx{Part: g.Partition(), Tx: tx})
+	l.options.Log.Request("Deleted the rows of an expired program", "group", g, "rows", len(page.Rows), "revision", revision,
+		"deleted", result.Committed, "err", err)
 }
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
+	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
@@ -104,10 +105,15 @@
 	// Rate returns how many transactions per second this VM may commit; 0 means no
 	// limit.
 	Rate func() float64
+	// Log takes the lines about decisions; nil discards them.
+	Log *decisionlog.Log
 }
 
 // New returns a ledger that works until ctx ends.
 func New(ctx context.Context, store platform.PartitionedStore, o Options) *Ledger {
+	if o.Log == nil {
+		o.Log = decisionlog.New(nil)
+	}
 	return &Ledger{
 		store: store, now: clock.Now, ctx: ctx, options: o, commits: newCommitter(),
 		accounts: map[turntree.Group]*account{}, turns: newTurnCache(o.CacheBytes),
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -269,7 +269,7 @@
 	}
 	x.Metrics.recordRequest(route, x.outcome, duration)
 	x.Log.Request("Request finished", "id", x.request.ID, "route", route, "endpoint", x.endpoint, "customer", customer,
-		"program", x.request.Program.ID, "parent", x.request.Program.Parent, "historyTurns", x.history.Len(),
+		"program", x.request.Program.ID, "group", x.group, "parent", x.request.Program.Parent, "historyTurns", x.history.Len(),
 		"configurationVersion", configurationVersion, "configurationAge", x.configurationAge, "replica", x.replica, "attempts", x.attempts, "tokens", x.tokens,
 		"outcome", x.outcome, "duration", duration, "rateWait", x.steps.rate, "prepare", x.steps.prepare, "place", x.steps.place,
 		"reply", x.steps.reply, "transfer", x.steps.transfer, "record", x.steps.record)
