ledger: Store a turn only if its parent is stored

Cause: the cache of turns outlives the rows that it copies. A history from memory was taken as stored, so a new turn was recorded on a parent that had been deleted. The same holds for the history that a VM sends its group's home, for turns of other programs and for rows that are deleted while the turn runs.

Change: the transactions that reserve and record a turn have the condition that the parent's row exists at its known revision. A stored turn has its chain in its group, so this condition makes the chain durable together with the turn. A missing parent is ErrTurnNotFound, and the turn leaves the cache.

The check makes no call to the store at the home that recorded the parent (TestParentIsCheckedWithoutReads). Stored rows and messages are unchanged.

--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -37,8 +37,20 @@
 	// transaction.
 	apply func(a *turntree.Account) error
 	rows  []platform.Write
-	ctx   context.Context
-	done  chan error
+	// parent is a turn of the group that must be stored when the change is committed.
+	parent parentTurn
+	ctx    context.Context
+	done   chan error
+	// revision is that of the rows once the change is committed.
+	revision uint64
+}
+
+// entries returns how many entries the change adds to the transaction of its account.
+func (c *change) entries() int {
+	if c.parent.id == "" {
+		return len(c.rows)
+	}
+	return len(c.rows) + 1
 }
 
 // bytes returns the approximate size of the rows that the change writes.
@@ -72,7 +84,8 @@
 		err = context.Cause(ctx)
 	}
 	if err != nil {
-		return &Error{Op: c.op, Turn: c.turn, Reserved: c.reserves && !errors.Is(err, ErrBudgetExceeded), Err: err}
+		reserved := c.reserves && !errors.Is(err, ErrBudgetExceeded) && !errors.Is(err, ErrTurnNotFound)
+		return &Error{Op: c.op, Turn: c.turn, Reserved: reserved, Err: err}
 	}
 	return nil
 }
@@ -97,7 +110,11 @@
 	var applied []*change
 	rejected := map[*change]error{}
 	for _, c := range changes {
-		if err := c.apply(&value); err != nil {
+		err := ErrTurnNotFound
+		if !c.parent.missing {
+			err = c.apply(&value)
+		}
+		if err != nil {
 			rejected[c] = err
 			continue
 		}
--- a/internal/process/ledger/cache.go
+++ b/internal/process/ledger/cache.go
@@ -15,12 +15,14 @@
 	ID    string         `msgpack:"i"`
 	Group turntree.Group `msgpack:"g"`
 	Turn  turntree.Turn  `msgpack:"t"`
+	// revision is that of the turn's first row in the store, 0 if it is unknown.
+	revision uint64
 }
 
 func (t StoredTurn) size() int { return len(t.Turn.Input) + len(t.Turn.Output) + entryOverhead }
 
-// turnCache is an LRU cache of turns, bounded in bytes. Turns are immutable, so no
-// entry can be stale.
+// turnCache is an LRU cache of turns, bounded in bytes. Turns are immutable, but an entry
+// may outlive its rows in the store.
 type turnCache struct {
 	limit, size int
 	order       *list.List // of StoredTurn, most recently used first
@@ -40,16 +42,31 @@
 	return e.Value.(StoredTurn), true
 }
 
+// add adds a turn. For one that is cached it only takes over the revision.
 func (c *turnCache) add(entry StoredTurn) {
-	if _, ok := c.byID[entry.ID]; ok {
+	if e, ok := c.byID[entry.ID]; ok {
+		if cached := e.Value.(StoredTurn); cached.Group == entry.Group {
+			cached.revision = max(cached.revision, entry.revision)
+			e.Value = cached
+		}
 		return
 	}
 	c.byID[entry.ID] = c.order.PushFront(entry)
 	c.size += entry.size()
 	for c.size > c.limit && c.order.Len() > 1 {
-		last := c.order.Back()
-		evicted := c.order.Remove(last).(StoredTurn)
-		delete(c.byID, evicted.ID)
-		c.size -= evicted.size()
+		c.remove(c.order.Back())
 	}
 }
+
+// drop removes a turn if it is cached.
+func (c *turnCache) drop(id string) {
+	if e, ok := c.byID[id]; ok {
+		c.remove(e)
+	}
+}
+
+func (c *turnCache) remove(e *list.Element) {
+	removed := c.order.Remove(e).(StoredTurn)
+	delete(c.byID, removed.ID)
+	c.size -= removed.size()
+}
--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"golang.org/x/time/rate"
@@ -129,10 +130,10 @@
 		u := accountUpdate{account: a}
 		for _, c := range a.queue {
 			first := len(batch)+len(u.changes) == 0
-			if full = !first && (entries+len(c.rows) > maxBatchEntries || bytes+c.bytes() > maxBatchBytes); full {
+			if full = !first && (entries+c.entries() > maxBatchEntries || bytes+c.bytes() > maxBatchBytes); full {
 				break
 			}
-			entries += len(c.rows)
+			entries += c.entries()
 			bytes += c.bytes()
 			u.changes = append(u.changes, c)
 		}
@@ -187,10 +188,14 @@
 			}
 			l.retry(u, err)
 		case !result.Committed:
+			for _, c := range u.changes {
+				c.parent.setFromRows(u.account.group, result.Current)
+			}
 			l.retry(u, l.setFromRows(u.account, result.Current))
 		default:
 			u.account.value, u.account.revision = u.value, result.Revision
 			for _, c := range u.changes {
+				c.revision = result.Revision
 				u.account.expires = clock.Later(u.account.expires, l.now().Add(max(c.retention, minRetention)))
 			}
 			l.finish(u, nil)
@@ -209,28 +214,35 @@
 		Conditions: []platform.Condition{{Key: key, Revision: u.account.revision}},
 		Writes:     []platform.Write{{Key: key, Value: data}},
 	}
+	parents := map[string]bool{}
 	for _, c := range u.changes {
 		tx.Writes = append(tx.Writes, c.rows...)
+		if id := c.parent.id; id != "" && !parents[id] {
+			parents[id] = true
+			tx.Conditions = append(tx.Conditions, c.parent.condition(u.account.group))
+		}
 	}
 	return tx, nil
 }
 
-// readUnknown reads the accounts of which this VM has no valid copy. It returns the
-// updates whose account is known and retries the others.
+// readUnknown reads the accounts of which this VM has no valid copy and the revisions of
+// parents that it doesn't know. It returns the updates of which all is known and retries
+// the others.
 func (l *Ledger) readUnknown(batch []accountUpdate) []accountUpdate {
-	errs := make([]error, len(batch))
+	accountErrs, parentErrs := make([]error, len(batch)), make([]error, len(batch))
 	var wait sync.WaitGroup
 	for i, u := range batch {
 		if !u.account.known {
 			batch[i].freshlyRead = true
-			wait.Go(func() { errs[i] = l.read(u.account) })
+			wait.Go(func() { accountErrs[i] = l.read(u.account) })
 		}
+		wait.Go(func() { parentErrs[i] = l.readParents(u) })
 	}
 	wait.Wait()
 	known := batch[:0]
 	for i, u := range batch {
-		if errs[i] != nil {
-			l.retry(u, errs[i])
+		if err := errors.Join(accountErrs[i], parentErrs[i]); err != nil {
+			l.retry(u, err)
 			continue
 		}
 		known = append(known, u)
--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -191,6 +191,12 @@
 			encoded[id] = append(encoded[id], r.Value...)
 		}
 	}
+	revisions := map[string]uint64{}
+	for _, r := range page.Rows {
+		if id, ok := turnID(g, r.Key.Key); ok && r.Key.Key == turnKey(g, id) {
+			revisions[id] = r.Revision
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, data := range encoded {
@@ -198,7 +204,7 @@
 		if err != nil {
 			return fmt.Errorf("turn %s: %w", id, err)
 		}
-		l.turns.add(StoredTurn{ID: id, Group: g, Turn: t})
+		l.turns.add(StoredTurn{ID: id, Group: g, Turn: t, revision: revisions[id]})
 	}
 	if a := l.account(g); !a.busy && !a.known {
 		return l.setFromRows(a, page.Rows)
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -100,6 +100,9 @@
 		}
 		return err
 	})
+	if errors.Is(err, ErrTurnNotFound) {
+		h.local.dropTurn(o.Parent)
+	}
 	var e *Error
 	if errors.As(err, &e) && !errors.Is(err, ErrBudgetExceeded) && !errors.Is(err, ErrTurnNotFound) {
 		e.Reserved = e.Reserved || reserved
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -155,8 +155,12 @@
 			return History{}, err
 		}
 	}
-	err := l.change(ctx, o.Group, o.Parent == "", &change{
-		op: "reserve", turn: o.Turn, reserves: true, retention: o.Retention,
+	parent, err := l.findParent(ctx, o.Group, o.Parent)
+	if err != nil {
+		return History{}, &Error{Op: "read", Turn: o.Parent, Err: err}
+	}
+	err = l.change(ctx, o.Group, o.Parent == "", &change{
+		op: "reserve", turn: o.Turn, reserves: true, retention: o.Retention, parent: parent,
 		apply: func(a *turntree.Account) error {
 			if !a.Reserve(o.Turn, o.MaxTokens, o.Budget) {
 				return ErrBudgetExceeded
@@ -164,6 +168,9 @@
 			return nil
 		},
 	})
+	if errors.Is(err, ErrTurnNotFound) {
+		l.dropTurn(o.Parent)
+	}
 	return history, err
 }
 
@@ -202,25 +209,37 @@
 }
 
 // Record durably stores an ended turn and its settlement in one transaction. The answer
-// must not end before Record has returned without an error.
+// must not end before Record has returned without an error. It fails with ErrTurnNotFound
+// if the store no longer has the turn that this one continues.
 func (l *Ledger) Record(ctx context.Context, r RecordRequest) error {
 	rows, err := turnWrites(r)
 	if err != nil {
 		return &Error{Op: "record", Turn: r.ID, Err: err}
 	}
-	err = l.change(ctx, r.Group, false, &change{
-		op: "record", turn: r.ID, retention: r.Retention, rows: rows,
+	c := &change{
+		op: "record", turn: r.ID, retention: r.Retention, rows: rows, parent: l.parentToKeep(r),
 		apply: func(a *turntree.Account) error {
 			a.Settle(r.ID, r.Used)
 			return nil
 		},
-	})
-	if err == nil {
-		l.cacheTurns(StoredTurn{ID: r.ID, Group: r.Group, Turn: r.Turn})
+	}
+	err = l.change(ctx, r.Group, false, c)
+	switch {
+	case err == nil:
+		l.cacheTurns(StoredTurn{ID: r.ID, Group: r.Group, Turn: r.Turn, revision: c.revision})
+	case errors.Is(err, ErrTurnNotFound):
+		l.dropTurn(r.Turn.Parent)
 	}
 	return err
 }
 
+// dropTurn removes a turn from the cache that the store no longer has.
+func (l *Ledger) dropTurn(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turns.drop(id)
+}
+
 // cacheTurns adds durable turns to the cache.
 func (l *Ledger) cacheTurns(turns ...StoredTurn) {
 	l.mu.Lock()
