fleet: Don't take a share that can't be used yet for an empty one

Cause: a VM without a usable share answered a request for a loan as if its bucket were empty for an hour. If all holders were new members, which use their shares after 3.5 s, each VM that asked remembered the hour and refused at once. Behind it: for up to 3.5 s after the older VMs had read the new members nobody used the shares that had moved.

Change: the answer says NoShare and the time until the share may be used; it is not remembered. What exhausted holders say is forgotten with a change of members or rates. A share that a new member takes over is used by its former holder until 3.5 s after that holder's last read without the member, before which the new one can't begin, and VMs that rank next are asked while holders can't use their shares. The clock is looked at before each use.

--- a/internal/process/fleet/loans.go
+++ b/internal/process/fleet/loans.go
@@ -2,17 +2,25 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/share"
 )
 
 const (
 	// borrowTimeout bounds one call to another VM. A round trip takes 3 ms.
 	borrowTimeout = 100 * time.Millisecond
-	// maxLenders bounds the VMs that are asked for one request. If none of them has a
-	// token, the one that has the next one reserves it.
+	// maxLenders bounds the VMs with a share that are asked for one request. If none of
+	// them has a token, the one that has the next one reserves it.
 	maxLenders = 3
+	// maxFormerHolders bounds the further VMs that are asked while holders cannot use their
+	// shares yet. Some of them still use the shares that they give up.
+	maxFormerHolders = 6
+	// shareRetryDelay is the wait that a VM states if it does not know when it will have a
+	// usable share. By then the VMs have read the same members.
+	shareRetryDelay = memberPollInterval
 )
 
 // LoanRequest asks another VM for tokens of a customer's rate.
@@ -30,6 +38,9 @@
 	// Wait is the time after which the lender has a token.
 	Granted bool
 	Wait    time.Duration
+	// NoShare is set if the lender has no share that it may use now. Other VMs may have
+	// tokens before Wait has passed.
+	NoShare bool
 	// Prefetched is the number of tokens lent in addition, for use at once.
 	Prefetched float64
 }
@@ -54,10 +65,11 @@
 		return nil
 	}
 	r.firstLender++
-	lenders = rotate(lenders, r.firstLender)[:min(len(lenders), maxLenders)]
+	enough := min(len(lenders), maxLenders)
+	lenders = append(rotate(lenders, r.firstLender), s.members.reachable(now, r.formerHolders)...)
 	own, prefetch := ownWait(now, r), r.bucket.Prefetch(now)
 	return func(ctx context.Context) loanEnded {
-		return loanEnded{customer: customer, w: w, asked: now, loanResult: s.findLoan(ctx, lenders, customer, w.maxWait, prefetch, own)}
+		return loanEnded{customer: customer, w: w, asked: now, loanResult: s.findLoan(ctx, lenders, enough, customer, w.maxWait, prefetch, own)}
 	}
 }
 
@@ -70,18 +82,31 @@
 	return out
 }
 
-// noShare is the wait for the own share of a VM that has none.
-const noShare = time.Hour
+// noToken is the wait for a token where none was offered.
+const noToken = time.Duration(math.MaxInt64)
 
 // ownWait returns how long this VM's own share needs to have a token.
 func ownWait(now time.Time, r *rateShare) time.Duration {
 	if r.bucket.Rate() <= 0 {
-		return noShare
+		return noToken
 	}
 	return r.bucket.NextToken(now).Sub(now)
 }
 
-// loanResult says where a request may get its token.
+// shareWait returns the time after which this VM may use its share of a customer's rate,
+// which it may not use now.
+func (s *State) shareWait(now time.Time, r *rateShare) time.Duration {
+	if r == nil || !r.holds {
+		return shareRetryDelay
+	}
+	if from := clock.Later(r.usableFrom, s.members.usableFrom); from.After(now) {
+		return from.Sub(now)
+	}
+	return shareRetryDelay
+}
+
+// loanResult says where a request may get its token. If no VM that was asked has a usable
+// share, NoShare is set and Wait is the shortest time until one has.
 type loanResult struct {
 	Loan
 	own      bool // the own share has the next token
@@ -89,13 +114,14 @@
 	complete bool // all holders that were asked have answered
 }
 
-// findLoan asks the lenders one after another. It runs on a goroutine of its own.
-func (s *State) findLoan(ctx context.Context, lenders []Member, customer string, maxWait time.Duration, prefetch float64, own time.Duration) loanResult {
+// findLoan asks the lenders one after another until enough of them, not counting those
+// without a usable share, have answered or failed. It runs on a goroutine of its own.
+func (s *State) findLoan(ctx context.Context, lenders []Member, enough int, customer string, maxWait time.Duration, prefetch float64, own time.Duration) loanResult {
 	result := loanResult{complete: true}
-	best, bestWait := -1, own
-	for i, to := range lenders {
-		request := LoanRequest{Prefetch: prefetch}
-		if len(lenders) == 1 && own == noShare {
+	best, bestWait, shareWait := -1, own, noToken
+	for i, asked := 0, 0; i < len(lenders) && asked < enough; i++ {
+		to, request := lenders[i], LoanRequest{Prefetch: prefetch}
+		if enough == 1 && own == noToken {
 			request.MaxWait = maxWait
 		}
 		loan, err := s.borrowFrom(ctx, to, customer, request)
@@ -103,16 +129,25 @@
 		switch {
 		case err != nil:
 			result.failed, result.complete = append(result.failed, to), false
+			asked++
+		case loan.NoShare:
+			shareWait = min(shareWait, loan.Wait)
 		case loan.Granted:
 			result.Granted, result.Wait = true, loan.Wait
 			return result
-		case loan.Wait < bestWait:
-			best, bestWait = i, loan.Wait
+		default:
+			asked++
+			if loan.Wait < bestWait {
+				best, bestWait = i, loan.Wait
+			}
 		}
 	}
 	result.Wait = bestWait
 	switch {
+	case bestWait == noToken:
+		result.NoShare, result.Wait = true, min(shareWait, shareRetryDelay)
 	case bestWait > maxWait:
+		result.Wait = min(bestWait, shareWait)
 	case best < 0:
 		result.own = true
 	default:
@@ -167,6 +202,8 @@
 		s.admitAfter(now, r, w, e.Wait)
 	case e.own || r.bucket.Rate() > 0:
 		s.reserveOwn(now, r, w)
+	case e.NoShare:
+		r.refuse(now, w, min(e.Wait, s.shareWait(now, r)))
 	default:
 		if e.complete {
 			r.exhaustedUntil = now.Add(e.Wait)
@@ -203,9 +240,9 @@
 
 // Apply implements Event.
 func (e Lend) Apply(s *State, now time.Time) {
-	r := s.rates[e.Customer]
+	r := s.currentShare(now, e.Customer)
 	if r == nil || r.bucket.Rate() <= 0 {
-		e.Reply <- Loan{Wait: noShare}
+		e.Reply <- Loan{NoShare: true, Wait: s.shareWait(now, r)}
 		return
 	}
 	var loan Loan
--- a/internal/process/fleet/loans_test.go
+++ b/internal/process/fleet/loans_test.go
@@ -21,6 +21,8 @@
 	lost map[string]bool // VMs that do not answer
 	// notices is the number of notices of limits.
 	notices int
+	// asked counts the requests for loans, askedWithoutShare those to VMs without a share.
+	asked, askedWithoutShare int
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -34,7 +36,12 @@
 		if vm.config.Self.VM == to.VM {
 			reply := make(chan Loan, 1)
 			Lend{Customer: customer, LoanRequest: r, Reply: reply}.Apply(vm.State, f.now)
-			return <-reply, nil
+			loan := <-reply
+			f.asked++
+			if loan.NoShare {
+				f.askedWithoutShare++
+			}
+			return loan, nil
 		}
 	}
 	return Loan{}, errNoAnswer
--- a/internal/process/fleet/members.go
+++ b/internal/process/fleet/members.go
@@ -65,7 +65,15 @@
 	// need no wait of their own, since a new member waits before it uses any share.
 	firstRead bool
 	lastRead  time.Time
-	renewed   time.Time // when the last successful renewal of the own row was sent
+	// lastReadSent is when the last read was sent: a row that it did not show was written
+	// later.
+	lastReadSent time.Time
+	// handoverUntil is how long this VM may use a share that it loses by the change that is
+	// being applied: a new member waits for joinDelay after it has written its first row.
+	// It is zero if a VM that was a member before takes part in the change, since such a VM
+	// may use its shares at once.
+	handoverUntil time.Time
+	renewed       time.Time // when the last successful renewal of the own row was sent
 	// downUntil is when the store was last known to be down for all VMs. The others
 	// measure a member's TTL anew from their first read after the outage.
 	downUntil time.Time
@@ -104,9 +112,18 @@
 // fewer holders, so that each share holds some tokens. All VMs with the same view
 // choose the same holders. If a VM joins or leaves, at most one holder changes.
 func (v *memberView) holders(customer string, rate float64) []Member {
-	return v.ranked("holder", customer, max(minShareHolders, int(rate/minShareRate)))
+	return v.ranked("holder", customer, holderCount(rate))
 }
 
+// formerHolders returns the members that rank next after the holders.
+func (v *memberView) formerHolders(customer string, rate float64) []Member {
+	n := holderCount(rate)
+	ranked := v.ranked("holder", customer, n+maxFormerHolders)
+	return ranked[min(n, len(ranked)):]
+}
+
+func holderCount(rate float64) int { return max(minShareHolders, int(rate/minShareRate)) }
+
 // ranked returns the n members, or all if there are fewer, that rank first for a subject
 // by a hash. purpose tells independent rankings apart.
 func (v *memberView) ranked(purpose, subject string, n int) []Member {
@@ -156,13 +173,14 @@
 			clock.Sleep(ctx, storeRetryDelay)
 			continue
 		}
+		readSent := clock.Now()
 		e, err := l.readMembers(ctx)
 		l.noteStoreError("read members", err)
 		if err != nil {
 			clock.Sleep(ctx, storeRetryDelay)
 			continue
 		}
-		e.wasMember, e.renewed = wasMember, sent
+		e.wasMember, e.renewed, e.sent = wasMember, sent, readSent
 		l.post(ctx, e)
 		clock.Sleep(ctx, memberPollInterval)
 	}
@@ -239,13 +257,14 @@
 
 // membersRead is the event that all members were read after the own row was renewed.
 // wasMember is set if an earlier process of this VM was a member, so that the others
-// already counted it. renewed is when the renewal was sent.
+// already counted it. renewed is when the renewal was sent, sent when the read was.
 type membersRead struct {
 	members []memberState
 	// blocks are the blocks of requests in the rows.
 	blocks    []quarantine.Notice
 	wasMember bool
 	renewed   time.Time
+	sent      time.Time
 }
 
 // Apply implements Event.
@@ -253,7 +272,12 @@
 	v := &s.members
 	before := v.all()
 	v.firstRead = v.lastRead.IsZero()
+	v.handoverUntil = time.Time{}
+	if !v.firstRead && v.joinedByNewMembers(e.members) {
+		v.handoverUntil = v.lastReadSent.Add(joinDelay)
+	}
 	expiredRows := v.update(now, e.members)
+	v.lastReadSent = e.sent
 	switch {
 	case v.usableFrom.IsZero() && e.wasMember:
 		v.usableFrom = now
@@ -267,7 +291,7 @@
 		s.applyRates(now)
 		s.applyLimits(now)
 	}
-	v.firstRead = false
+	v.firstRead, v.handoverUntil = false, time.Time{}
 	s.mergeQuarantine(now, e.blocks)
 	// The member with the lowest address deletes the rows; one VM is enough.
 	if all := v.all(); len(expiredRows) > 0 && len(all) > 0 && all[0].Address == v.self.Address {
@@ -275,6 +299,16 @@
 	}
 }
 
+// joinedByNewMembers returns whether all VMs that a read adds to the members had no row in
+// the read before.
+func (v *memberView) joinedByNewMembers(read []memberState) bool {
+	return !slices.ContainsFunc(read, func(m memberState) bool {
+		_, isMember := v.members[m.Address]
+		_, hadRow := v.rows[m.Address]
+		return !isMember && hadRow
+	})
+}
+
 // update replaces the members by those of a read and returns the rows that are due for
 // deletion. Time in which this VM could not read the store does not count towards the
 // TTLs, since no VM can renew its row during an outage.
--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -35,12 +35,19 @@
 	waiting      map[chan<- TakeRateTokenResult]*waiter
 	holders      []Member // the VMs that have a share of the rate
 	holds        bool     // this VM is one of the holders
+	// formerHolders are VMs that may still use shares that the holders will use. The
+	// holders that a new member replaces are the next ones in the ranking.
+	formerHolders []Member
 	// usableFrom is when this VM may begin to use a share that another VM may still be
 	// using; zero if there is no such wait.
-	usableFrom  time.Time
+	usableFrom time.Time
+	// usableUntil is when this VM stops to use a share that it has lost to a new member;
+	// zero if it uses none.
+	usableUntil time.Time
 	firstLender int // counter that rotates the VM that is asked first
 	// exhaustedUntil is when a request with the longest wait has a chance again: every
-	// holder that was asked has given away its tokens until then.
+	// holder that was asked has given away its tokens until then. A change of the holders
+	// or of the rate ends it.
 	exhaustedUntil time.Time
 }
 
@@ -77,7 +84,7 @@
 
 // Apply implements Event.
 func (e TakeRateToken) Apply(s *State, now time.Time) {
-	r := s.rates[e.Customer]
+	r := s.currentShare(now, e.Customer)
 	if r == nil || r.unlimited {
 		// Without a share, the configuration in force has just removed the customer; the
 		// check of its key then refuses the request.
@@ -102,6 +109,17 @@
 	}
 }
 
+// currentShare returns this VM's share of a customer's rate, without a right to use it
+// that has ended while the process was paused; nil if there is no such customer.
+func (s *State) currentShare(now time.Time, customer string) *rateShare {
+	s.stepMembers(now)
+	r := s.rates[customer]
+	if r != nil {
+		s.stepShare(now, customer, r)
+	}
+	return r
+}
+
 // maxWait returns how long the request may wait for a token.
 func (e TakeRateToken) maxWait(now time.Time) time.Duration {
 	if e.StartsProgram {
@@ -199,16 +217,24 @@
 }
 
 // applyRate sets this VM's share of one customer's rate. A share that this VM did not
-// have before is not used until every VM that can reach the store has seen the change.
+// have before is not used until every VM that can reach the store has seen the change. A
+// share that it has lost is used until its new holder may begin.
 func (s *State) applyRate(now time.Time, c *version.Customer, r *rateShare) {
 	wasHolder := r.holds
-	r.holders = s.members.holders(c.Name, c.Rate)
+	r.holders, r.formerHolders = s.members.holders(c.Name, c.Rate), s.members.formerHolders(c.Name, c.Rate)
 	r.holds = s.members.includesSelf(r.holders)
-	if r.holds && !wasHolder && !s.members.firstRead {
+	switch {
+	case r.holds && !wasHolder && !s.members.firstRead:
 		r.usableFrom = now.Add(joinDelay)
+	case wasHolder && !r.holds && !now.Before(r.usableFrom):
+		r.usableUntil = s.members.handoverUntil
+	}
+	if r.holds || !now.Before(r.usableUntil) {
+		r.usableUntil = time.Time{}
 	}
+	r.exhaustedUntil = time.Time{}
 	rate, burst := c.Rate, c.Burst
-	if !s.members.usable || !r.holds || now.Before(r.usableFrom) {
+	if !s.members.usable || !r.holds && r.usableUntil.IsZero() || now.Before(r.usableFrom) {
 		rate, burst = 0, 0
 	}
 	r.bucket.SetPolicy(now, rate, burst, len(r.holders))
@@ -218,9 +244,7 @@
 // next.
 func (s *State) stepRates(now time.Time) (next time.Time) {
 	for name, r := range s.rates {
-		if !r.usableFrom.IsZero() {
-			next = clock.Earlier(next, s.stepShare(now, name, r))
-		}
+		next = clock.Earlier(next, s.stepShare(now, name, r))
 		for _, w := range r.waiting {
 			switch {
 			case w.admitAt.IsZero():
@@ -238,15 +262,16 @@
 	return next
 }
 
-// stepShare begins to use a share once usableFrom has passed; before, it returns
-// usableFrom.
+// stepShare begins to use a share once usableFrom has passed, and ends the use of a lost
+// one at usableUntil. It returns the next of these times.
 func (s *State) stepShare(now time.Time, name string, r *rateShare) time.Time {
-	if now.Before(r.usableFrom) {
-		return r.usableFrom
+	begins := !r.usableFrom.IsZero() && !now.Before(r.usableFrom)
+	ends := !r.usableUntil.IsZero() && !now.Before(r.usableUntil)
+	if begins {
+		r.usableFrom = time.Time{}
 	}
-	r.usableFrom = time.Time{}
-	if c, ok := s.table.Customer(name); ok {
+	if c, ok := s.table.Customer(name); ok && (begins || ends) {
 		s.applyRate(now, c, r)
 	}
-	return time.Time{}
+	return clock.Earlier(r.usableFrom, r.usableUntil)
 }
--- a/internal/request/fleetrpc/fleetrpc.go
+++ b/internal/request/fleetrpc/fleetrpc.go
@@ -32,6 +32,17 @@
 	Granted    bool          `msgpack:"g"`
 	Wait       time.Duration `msgpack:"w,omitempty"`
 	Prefetched float64       `msgpack:"p,omitempty"`
+	NoShare    bool          `msgpack:"n,omitempty"`
+}
+
+// earlierNoShareWait is the wait that builds without the field NoShare state if they have
+// no share.
+const earlierNoShareWait = time.Hour
+
+// loan decodes the reply of a VM of this build or an earlier one.
+func (r loanReply) loan() fleet.Loan {
+	noShare := r.NoShare || !r.Granted && r.Wait >= earlierNoShareWait
+	return fleet.Loan{Granted: r.Granted, Wait: max(0, r.Wait), Prefetched: max(0, r.Prefetched), NoShare: noShare}
 }
 
 // callVM makes one call to another VM. It encodes the request and decodes the answer into
@@ -77,7 +88,7 @@
 	if err := callVM(ctx, l.Manager, to, peer.ShareAsk, loanRequest{Customer: customer, MaxWait: r.MaxWait, Prefetch: r.Prefetch}, &reply); err != nil {
 		return fleet.Loan{}, err
 	}
-	return fleet.Loan{Granted: reply.Granted, Wait: max(0, reply.Wait), Prefetched: max(0, reply.Prefetched)}, nil
+	return reply.loan(), nil
 }
 
 // Notify implements fleet.PeerClient.
@@ -193,7 +204,7 @@
 	}
 	select {
 	case loan := <-reply:
-		payload, err := peer.Encode(loanReply{Granted: loan.Granted, Wait: loan.Wait, Prefetched: loan.Prefetched})
+		payload, err := peer.Encode(loanReply{Granted: loan.Granted, Wait: loan.Wait, Prefetched: loan.Prefetched, NoShare: loan.NoShare})
 		return peer.Message{Type: peer.ShareGrant, Payload: payload}, err
 	case <-ctx.Done():
 		return peer.Message{}, ctx.Err()
