ledger: Store how long a program has to be kept

Cause: how long the rows of a program must be kept was known only to the process that had stated it. After a restart, or at another home, the last change alone counted.

Evidence: with deletions logged, the VM that had made only the change on the short route deletes three rows 93 s after it (docs/incidents/2026-12-05-retention-forgotten.md).

Change: the account has the longest retention that any change has stated, and each VM counts it from its own last change.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -227,7 +227,7 @@
 	d.detour = &detour.Client{Direct: replicas, Path: d.path, Proxies: d.replicaProxies}
 	server.Loop, server.Path, server.ReplicaPath, server.MayForward = d.loop, d.store, d.path, d.loop.MayForward
 	d.ledger = ledger.New(running, d.store, ledger.Options{
-		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare, Log: log,
+		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare, LongestRetention: d.longestRetention, Log: log,
 	})
 	server.Ledger = d.ledger
 	instruments, metrics, err := d.newMetrics()
@@ -333,6 +333,16 @@
 	return float64(d.settings.StoreWritesPerSecond) / float64(max(1, len(d.loop.Snapshot().Members)))
 }
 
+// longestRetention returns the longest retention of the routes in force, 0 if this VM has
+// read no configuration yet.
+func (d *fleetDaemon) longestRetention() time.Duration {
+	table := d.loop.Snapshot().Table
+	if table == nil {
+		return 0
+	}
+	return table.LongestRetention()
+}
+
 // home returns the VM that applies the changes of a program's group of rows. It returns
 // false if that is this VM or if skip returns true for all candidates.
 func (d *fleetDaemon) home(g turntree.Group, skip func(vm string) bool) (ledger.Home, bool) {
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -21,7 +21,8 @@
 	queue    []*change
 	busy     bool // waits for a transaction or has one in flight
 	lastUsed time.Time
-	// expires is the time after which the group's turns need no longer be kept.
+	// expires is the time after which the group's turns need no longer be kept; zero if this
+	// VM has made no change.
 	expires time.Time
 	// backoff is the wait before the next transaction after a failed one.
 	backoff time.Duration
@@ -118,6 +119,7 @@
 			rejected[c] = err
 			continue
 		}
+		value.Retention = max(value.Retention, c.retention)
 		applied = append(applied, c)
 	}
 	return value, applied, rejected
--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -194,9 +194,9 @@
 			l.retry(u, l.setFromRows(u.account, result.Current))
 		default:
 			u.account.value, u.account.revision = u.value, result.Revision
+			u.account.expires = clock.Later(u.account.expires, l.now().Add(max(u.value.Retention, minRetention)))
 			for _, c := range u.changes {
 				c.revision = result.Revision
-				u.account.expires = clock.Later(u.account.expires, l.now().Add(max(c.retention, minRetention)))
 			}
 			l.finish(u, nil)
 		}
@@ -205,7 +205,7 @@
 
 // encode returns the conditions and writes of the account for a transaction.
 func (u accountUpdate) encode() (platform.Tx, error) {
-	data, err := turntree.Encode(u.value)
+	data, err := turntree.EncodeAccount(u.value)
 	if err != nil {
 		return platform.Tx{}, err
 	}
@@ -262,6 +262,9 @@
 			l.retry(u, nil)
 			continue
 		}
+		if u.account.revision != 0 && u.account.value.Retention == 0 {
+			value.Retention = max(value.Retention, l.options.LongestRetention())
+		}
 		u.value, u.changes = value, applied
 		if len(applied) == 0 {
 			l.finish(u, nil)
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -41,8 +41,8 @@
 	// exceeds the outages of the store. If it ends, the reservation stays: the program
 	// can then use less than its budget, never more.
 	settleTimeout = 30 * time.Second
-	// minRetention is how long a program's rows are kept if a change states no retention:
-	// the program may come back within the time for which the routes keep its turns.
+	// minRetention is the shortest time for which a program's rows are kept after a change,
+	// also if no change has stated a retention.
 	minRetention = time.Minute
 	// accountIdleTimeout is how long an unused account stays in memory.
 	accountIdleTimeout = 30 * time.Second
@@ -105,12 +105,18 @@
 	// Rate returns how many transactions per second this VM may commit; 0 means no
 	// limit.
 	Rate func() float64
+	// LongestRetention returns the longest retention of the routes in force. Programs of
+	// which the store does not tell the retention are kept for it. nil means 0.
+	LongestRetention func() time.Duration
 	// Log takes the lines about decisions; nil discards them.
 	Log *decisionlog.Log
 }
 
 // New returns a ledger that works until ctx ends.
 func New(ctx context.Context, store platform.PartitionedStore, o Options) *Ledger {
+	if o.LongestRetention == nil {
+		o.LongestRetention = func() time.Duration { return 0 }
+	}
 	if o.Log == nil {
 		o.Log = decisionlog.New(nil)
 	}
@@ -138,7 +144,7 @@
 	// maximum for all turns of the program. A Budget of 0 means no limit.
 	MaxTokens int64 `msgpack:"m"`
 	Budget    int64 `msgpack:"b"`
-	// Retention is how long the program's rows are kept after this change.
+	// Retention is how long the program's rows are kept after this change and later ones.
 	Retention time.Duration `msgpack:"r,omitempty"`
 	// HasHistory is set if the caller already has the history.
 	HasHistory bool `msgpack:"h,omitempty"`
@@ -180,7 +186,7 @@
 	Group turntree.Group `msgpack:"g"`
 	Turn  string         `msgpack:"t"`
 	Used  int64          `msgpack:"u"`
-	// Retention is how long the program's rows are kept after this change.
+	// Retention is how long the program's rows are kept after this change and later ones.
 	Retention time.Duration `msgpack:"r,omitempty"`
 }
 
--- a/internal/process/turntree/turntree.go
+++ b/internal/process/turntree/turntree.go
@@ -7,7 +7,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -70,11 +73,27 @@
 // the reservation, so that the sum of use and reservations never exceeds the budget.
 type Account struct {
 	// Spent is the number of tokens that ended turns used.
-	Spent int64 `msgpack:"s"`
+	Spent int64
 	// Reserved contains the token limits of running turns by turn id.
+	Reserved map[string]int64
+	// Retention is how long the program's rows are kept after each change: the longest time
+	// that any change has stated; 0 if none has.
+	Retention time.Duration
+}
+
+// storedAccount is the encoding of an Account.
+type storedAccount struct {
+	Spent int64 `msgpack:"s"`
+	// Reserved also has an entry without tokens whose key contains the retention. Builds up
+	// to 19775ae drop fields that they don't know when they write an account, but keep all
+	// reservations.
 	Reserved map[string]int64 `msgpack:"r,omitempty"`
 }
 
+// retentionKey begins the key of the entry that contains the retention in milliseconds. No
+// id of a turn begins with NUL.
+const retentionKey = "\x00retention-ms="
+
 // Reserve reserves maxTokens for a turn. It returns false if they do not fit into the
 // budget. A budget of 0 means no limit. A repeated reservation of the same turn changes
 // nothing.
@@ -142,14 +161,37 @@
 	return t, nil
 }
 
+// EncodeAccount encodes an account for the store.
+func EncodeAccount(a Account) ([]byte, error) {
+	stored := storedAccount{Spent: a.Spent, Reserved: a.Reserved}
+	if a.Retention > 0 {
+		stored.Reserved = map[string]int64{retentionKey + strconv.FormatInt(a.Retention.Milliseconds(), 10): 0}
+		maps.Copy(stored.Reserved, a.Reserved)
+	}
+	return Encode(stored)
+}
+
 // DecodeAccount decodes a stored account. Empty data is the account of a new program.
 func DecodeAccount(data []byte) (Account, error) {
-	var a Account
 	if len(data) == 0 {
-		return a, nil
+		return Account{}, nil
 	}
-	if err := msgpack.Unmarshal(data, &a); err != nil {
+	var stored storedAccount
+	if err := msgpack.Unmarshal(data, &stored); err != nil {
 		return Account{}, &Error{Record: "account", Err: err}
 	}
+	a := Account{Spent: stored.Spent, Reserved: stored.Reserved}
+	for key := range stored.Reserved {
+		text, ok := strings.CutPrefix(key, retentionKey)
+		if !ok {
+			continue
+		}
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return Account{}, &Error{Record: "account", Err: err}
+		}
+		a.Retention = max(a.Retention, time.Duration(ms)*time.Millisecond)
+		delete(a.Reserved, key)
+	}
 	return a, nil
 }
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -166,6 +166,19 @@
 	return nil, false
 }
 
+// LongestRetention returns the longest time for which a route keeps its turns.
+func (t *Table) LongestRetention() time.Duration {
+	var longest time.Duration
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.KeepsHistory {
+				longest = max(longest, r.Retention)
+			}
+		}
+	}
+	return longest
+}
+
 // Authenticate returns the customer whose key was presented.
 func (t *Table) Authenticate(key string) (*version.Customer, bool) { return t.access.Authenticate(key) }
 
