relay: Keep history and budget of turns without a customer

Cause: prepareTurn returned if the request has no customer, and without a group nothing was recorded either. The same happened to a turn that names no program.

Change: each request has an owner of its turns, the customer of its key or nobody, also on a route that needs no key. The history and the budget depend on the route alone. A turn without a program has a group of its own. Rows and messages have no new fields.

--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -57,6 +57,7 @@
 const testConfiguration = `{"version":%d,
 "routes":[
  {"name":"chat","host":"app.example","path_prefix":"/chat/","type":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":1,"service":"model","max_attempts":2,"keeps_history":true,"retention_s":60,"target_gap_ms":150},
+ {"name":"desk","host":"app.example","path_prefix":"/desk/","type":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":1,"service":"model","max_attempts":2,"keeps_history":true,"retention_s":60,"target_gap_ms":150,"public":true},
  {"name":"triage","host":"app.example","path_prefix":"/triage/","type":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":1,"service":"model","max_attempts":2,"resumable":true,"target_gap_ms":150},
  {"name":"read","host":"app.example","path_prefix":"/read/","type":"idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2,"service":"tools","max_attempts":2},
  {"name":"pay","host":"app.example","path_prefix":"/pay/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2,"service":"tools","max_attempts":2},
@@ -255,6 +256,75 @@
 	require.Empty(t, fleet.runs(spent.id))
 }
 
+// openTurn sends a turn without a key on a route that needs none.
+func (fleet *testFleet) openTurn(vm int, program, parent, input string, headers ...string) reply {
+	headers = append([]string{"Hornbeamvale-Program-Id", program, "Hornbeamvale-Token-Usage", "100,50", "Hornbeamvale-Credential", ""}, headers...)
+	if parent != "" {
+		headers = append(headers, "Hornbeamvale-Previous-Turn", parent)
+	}
+	return fleet.send(vm, "POST", "/desk/1", []byte(input), headers...)
+}
+
+// TestOpenRouteKeepsHistoryAndBudget guards against turns of a route that needs no key
+// which run without the turns that they continue and beyond their program's budget.
+func TestOpenRouteKeepsHistoryAndBudget(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	budget := []string{"Hornbeamvale-Token-Budget", "120"}
+	first := fleet.openTurn(0, "p", "", "one ", budget...)
+	require.Equal(t, 200, first.status, first.body)
+	second := fleet.openTurn(1, "p", first.id, "two ", budget...)
+	require.Equal(t, 200, second.status, second.body)
+	run := fleet.runs(second.id)
+	require.Len(t, run, 1)
+	require.Equal(t, "one "+events(first.id)+"two ", run[0].Body)
+	require.Empty(t, run[0].Tenant)
+	spent := fleet.openTurn(0, "p", second.id, "three ", budget...)
+	require.Equal(t, 402, spent.status)
+	require.Empty(t, fleet.runs(spent.id))
+	unknown := fleet.openTurn(1, "p", "none", "four ")
+	require.Equal(t, 404, unknown.status)
+	require.Empty(t, fleet.runs(unknown.id))
+}
+
+// TestOpenRouteHidesTurnsOfCustomers guards against a request without a key that gets the
+// history of a customer, and a customer that gets that of requests without a key.
+func TestOpenRouteHidesTurnsOfCustomers(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	ofCustomer := fleet.turn(0, "p", "", "one ")
+	require.Equal(t, 200, ofCustomer.status, ofCustomer.body)
+	ofNobody := fleet.openTurn(0, "p", "", "one ")
+	require.Equal(t, 200, ofNobody.status, ofNobody.body)
+	for _, got := range []reply{
+		fleet.openTurn(0, "p", ofCustomer.id, "two "),
+		fleet.openTurn(0, "p", ofCustomer.id, "two ", "Hornbeamvale-Credential", "key-o"),
+		fleet.turn(0, "p", ofNobody.id, "two "),
+	} {
+		require.Equal(t, 404, got.status)
+		require.Empty(t, fleet.runs(got.id))
+	}
+	// The key of the customer that owns the turn proves its right to continue it.
+	own := fleet.openTurn(0, "p", ofCustomer.id, "two ", "Hornbeamvale-Credential", "key-p")
+	require.Equal(t, 200, own.status, own.body)
+	run := fleet.runs(own.id)
+	require.Len(t, run, 1)
+	require.Equal(t, "one "+events(ofCustomer.id)+"two ", run[0].Body)
+}
+
+// TestTurnWithoutAProgramKeepsItsHistory guards against a turn that names no program and
+// runs without the turn that it continues.
+func TestTurnWithoutAProgramKeepsItsHistory(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	first := fleet.turn(0, "", "", "one ")
+	require.Equal(t, 200, first.status, first.body)
+	second := fleet.turn(1, "", first.id, "two ")
+	require.Equal(t, 200, second.status, second.body)
+	third := fleet.turn(0, "", second.id, "three ")
+	require.Equal(t, 200, third.status, third.body)
+	run := fleet.runs(third.id)
+	require.Len(t, run, 1)
+	require.Equal(t, "one "+events(first.id)+"two "+events(second.id)+"three ", run[0].Body)
+}
+
 // TestAtMostOnce guards against repeating a non-idempotent request that may have run,
 // and against a status that promises "not run" for it.
 func TestAtMostOnce(t *testing.T) {
--- a/internal/process/turntree/turntree.go
+++ b/internal/process/turntree/turntree.go
@@ -36,6 +36,12 @@
 	return Group(hex.EncodeToString(sum[:groupBytes]))
 }
 
+// GroupOfTurn returns the group of a customer's turn that belongs to no program.
+func GroupOfTurn(customer, turn string) Group {
+	// No id of a program begins with NUL.
+	return GroupOf(customer, "\x00"+turn)
+}
+
 // Partition returns the name of the store's partition that holds the group's rows.
 func (g Group) Partition() string { return partitionName(uint64(g.PartitionNumber())) }
 
--- a/internal/request/relay/admit.go
+++ b/internal/request/relay/admit.go
@@ -40,10 +40,13 @@
 	if s.Draining {
 		x.deadline = clock.Earlier(x.deadline, s.StopAt)
 	}
+	customer, ok := s.Table.Authenticate(x.request.Key)
+	if ok {
+		x.owner = customer.Name
+	}
 	if route.Open {
 		return nil
 	}
-	customer, ok := s.Table.Authenticate(x.request.Key)
 	if !ok {
 		return refuseIfConfirmed(confirmed, refusal.New(refusal.Unauthenticated, "the key is not valid"))
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -98,9 +98,13 @@
 	table    *routing.Table
 	route    *routing.Route
 	customer *version.Customer // nil on a route that needs no key
-	group    turntree.Group    // of the program; empty if its turns are neither recorded nor budgeted
-	history  ledger.History    // the earlier turns that this one continues
-	reserved bool              // the program's budget may hold a reservation for this turn
+	// owner is the customer to which the turns belong. On a route that needs no key it is
+	// the holder of the request's key, or empty: requests without a key have turns in
+	// common that no customer sees.
+	owner    string
+	group    turntree.Group // of the program; empty if its turns are neither recorded nor budgeted
+	history  ledger.History // the earlier turns that this one continues
+	reserved bool           // the program's budget may hold a reservation for this turn
 
 	endpoint string
 	replica  string
@@ -200,18 +204,21 @@
 // program's budget.
 func (x *exchange) prepareTurn() *refusal.Refusal {
 	p := x.request.Program
-	if x.route.Kind != routing.Stream || x.customer == nil || p.ID == "" {
+	if x.route.Kind != routing.Stream || p.ID == "" && !x.route.KeepsHistory {
 		return nil
 	}
 	defer measure(&x.steps.prepare, clock.Now())
-	x.group = turntree.GroupOf(x.customer.Name, p.ID)
+	x.group = turntree.GroupOf(x.owner, p.ID)
+	if p.ID == "" {
+		x.group = turntree.GroupOfTurn(x.owner, x.request.ID)
+	}
 	if x.Store.State() == storepath.Isolated {
 		return refusal.New(refusal.StoreUnavailable, "this VM reaches neither the store nor another VM").After(isolatedRetryAfter)
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, min(storeTimeout, time.Duration(storeTimeFraction*float64(clock.Until(x.deadline)))))
 	defer cancel()
 	open := ledger.OpenRequest{
-		Group: x.group, Customer: x.customer.Name, Turn: x.request.ID, MaxTokens: x.request.MaxTokens, Budget: p.TokenBudget,
+		Group: x.group, Customer: x.owner, Turn: x.request.ID, MaxTokens: x.request.MaxTokens, Budget: p.TokenBudget,
 		Retention: x.route.Retention,
 	}
 	if x.route.KeepsHistory {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -187,12 +187,12 @@
 	err := x.Ledger.Record(x.ctx, ledger.RecordRequest{
 		Group: x.group, ID: x.request.ID, Used: x.tokens, History: x.history, Retention: x.route.Retention,
 		Turn: turntree.Turn{
-			Customer: x.customer.Name, Parent: x.request.Program.Parent,
+			Customer: x.owner, Parent: x.request.Program.Parent,
 			Input: x.request.Body, Output: output, Replica: a.replica.Replica,
 		},
 	})
 	if err != nil {
-		x.Log.Request("Turn could not be recorded", "id", x.request.ID, "customer", x.customer.Name, "program", x.request.Program.ID, "tokens", x.tokens, "err", err)
+		x.Log.Request("Turn could not be recorded", "id", x.request.ID, "customer", x.owner, "program", x.request.Program.ID, "tokens", x.tokens, "err", err)
 		return false
 	}
 	x.reserved = false
