relay: Bound the memory of all streams of a VM together

Seen by other operators: a faulty replica sent bytes without an end, the machine that had called it ran out of memory, and the requests of its other clients ended.

Cause: here each event and output of a stream was bounded to 1 MB, but not all together.

--- /dev/null
+++ b/cmd/hornbeamvaled/endless_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/platform/platformtest"
+)
+
+// TestManyEndlessAnswersTakeBoundedMemory guards against a process that keeps the bytes of
+// many replies without an end at the same time: each one was bounded, all together were not,
+// and the process ran out of memory with the requests of all other callers.
+func TestManyEndlessAnswersTakeBoundedMemory(t *testing.T) {
+	const (
+		memoryBytes = 112 << 20
+		limit       = memoryBytes * 6 / 10 // the part for Go
+		parallel    = 120
+	)
+	fleet := newTestFleetWithMemory(t, 1, memoryBytes)
+	for i, e := range []platformtest.Endless{
+		platformtest.EndlessHeaderLine, platformtest.EndlessHeaders, platformtest.EndlessChunkLine,
+		platformtest.EndlessBody, platformtest.EndlessEvent, platformtest.EndlessEvents,
+	} {
+		t.Run(string(e), func(t *testing.T) {
+			fleet.replaceReplicas(fmt.Sprint("e", i))
+			// The pause lets all replies begin before the first one is cut.
+			endless := platformtest.Behaviour{Endless: e, EndlessPause: 2 * time.Millisecond}
+			fleet.setBehaviour(fleet.model, endless)
+			fleet.tools[0].SetBehaviour(endless)
+			stop, peak := make(chan struct{}), make(chan uint64, 1)
+			go func() { peak <- peakHeap(stop) }()
+			begun := time.Now().Unix()
+			var wait sync.WaitGroup
+			for i := range parallel {
+				wait.Go(func() {
+					fleet.sendAndDiscard([]string{"/pay/1", "/chat/1", "/triage/1"}[i%3], fmt.Sprintf("%08x%08x", begun, i))
+				})
+			}
+			// Requests to a sound replica go on meanwhile.
+			served := 0
+			for range 20 {
+				if fleet.send(0, "GET", "/read/1", nil).status == http.StatusOK {
+					served++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			wait.Wait()
+			close(stop)
+			assert.Less(t, <-peak, uint64(limit))
+			assert.GreaterOrEqual(t, served, 18)
+			if e != platformtest.EndlessChunkLine { // it is cut at once, and its replica is out of use then
+				runs := len(fleet.model[0].Runs()) + len(fleet.model[1].Runs())
+				require.Greater(t, runs, parallel/3, "too few replies were read at the same time")
+			}
+		})
+	}
+}
+
+// replaceReplicas replaces the model replicas and the first one of the tools by new ones.
+func (fleet *testFleet) replaceReplicas(prefix string) {
+	for _, old := range append(slices.Clone(fleet.model), fleet.tools[0]) {
+		fleet.store.Delete("servers", old.ID)
+	}
+	begin := func(service string, i int, b platformtest.Behaviour) *platformtest.Replica {
+		r := platformtest.NewReplica(fleet.t, fmt.Sprint(prefix, "-", service, i), b)
+		fleet.store.Put("servers", r.ID, r.Registration(service, "ready"))
+		return r
+	}
+	for i := range fleet.model {
+		fleet.model[i] = begin("model", i, platformtest.Behaviour{Events: 3})
+	}
+	fleet.tools[0] = begin("tools", 0, platformtest.Behaviour{})
+	fleet.eventually(func() bool {
+		fleet.send(0, "POST", "/triage/1", nil)
+		return len(fleet.model[0].Runs())+len(fleet.model[1].Runs()) > 0
+	})
+}
+
+// sendAndDiscard sends a request and reads what comes without keeping it.
+func (fleet *testFleet) sendAndDiscard(path, id string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+fleet.vms[0].settings.CallerAddress.String()+path, nil)
+	assert.NoError(fleet.t, err)
+	req.Host = "app.example"
+	for name, value := range map[string]string{
+		"Attempt-Id": id, "Deadline-Ms": "4000", "Credential": "key-p", "Program-Id": "p" + id, "Token-Usage": "100,10000000",
+	} {
+		req.Header.Set("Hornbeamvale-"+name, value)
+	}
+	resp, err := fleet.client.Do(req)
+	if err != nil {
+		return // the VM has cut the answer
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body) // it breaks off
+}
--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -42,6 +42,9 @@
 	// replyMemoryFraction is the fraction of the memory limit for large replies that are
 	// read as a whole before they are relayed.
 	replyMemoryFraction = 0.15
+	// streamMemoryFraction is the fraction of the memory limit for large events and outputs
+	// of streams.
+	streamMemoryFraction = 0.15
 	// goMemoryFraction is the fraction of the VM's memory limit that is set as the soft
 	// memory limit of the Go runtime, near which the garbage collector runs more often.
 	// The rest is for stacks, socket buffers and the runtime itself.
@@ -236,7 +239,8 @@
 	}
 	relays := &relay.Server{
 		Loop: d.loop, Ledger: ledger.NewHomeRouter(d.ledger, log, d.home), Replicas: d.detour, Store: d.store, Log: log, Metrics: instruments,
-		ReplyMemory: relay.NewReplyMemory(int64(replyMemoryFraction * float64(s.MemoryBytes))),
+		ReplyMemory:  relay.NewReplyMemory(int64(replyMemoryFraction * float64(s.MemoryBytes))),
+		StreamMemory: relay.NewStreamMemory(int64(streamMemoryFraction * float64(s.MemoryBytes))),
 	}
 	d.callers = &http.Server{
 		Handler:           platformrequest.New(platformrequest.Options{Server: relays, MaxBodyBytes: d.maxBodyBytes, CloseConnections: d.closeConnections}),
--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -40,6 +40,8 @@
 	client   *http.Client
 	mu       sync.Mutex
 	requests int
+	// memoryBytes is the memory limit of the VMs that are started.
+	memoryBytes int64
 }
 
 type testVM struct {
@@ -67,8 +69,12 @@
 "tenants":[{"name":"parish","api_keys":[%s],"rate_per_s":%d,"burst":%d},{"name":"other","api_keys":["key-o"],"rate_per_s":1000,"burst":1000}]}`
 
 // newTestFleet starts a fleet of n VMs with two replicas of each service.
-func newTestFleet(t *testing.T, n int) *testFleet {
-	fleet := &testFleet{t: t, store: platformtest.NewStore(t), client: &http.Client{Transport: &http.Transport{}, Timeout: waitLimit}}
+func newTestFleet(t *testing.T, n int) *testFleet { return newTestFleetWithMemory(t, n, 200<<20) }
+
+// newTestFleetWithMemory starts a fleet of VMs whose processes may use the given number of
+// bytes.
+func newTestFleetWithMemory(t *testing.T, n int, memoryBytes int64) *testFleet {
+	fleet := &testFleet{t: t, memoryBytes: memoryBytes, store: platformtest.NewStore(t), client: &http.Client{Transport: &http.Transport{}, Timeout: waitLimit}}
 	t.Cleanup(fleet.client.CloseIdleConnections)
 	fleet.configure(1, `"key-p"`, 10_000)
 	for i := range 2 {
@@ -101,7 +107,7 @@
 	link, err := connection.NewLink(fleet.store.Address().String(), linkSource)
 	require.NoError(fleet.t, err)
 	s := settings.FleetVM{
-		VM: name, DataCentre: "a", MemoryBytes: 200 << 20, StopTimeout: 3 * time.Second, DrainTime: 2 * time.Second,
+		VM: name, DataCentre: "a", MemoryBytes: fleet.memoryBytes, StopTimeout: 3 * time.Second, DrainTime: 2 * time.Second,
 		StoreAddress: netip.MustParseAddrPort(link.Address()),
 	}
 	// The listeners stay open from the choice of the port on. A port that is released and
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -81,6 +81,8 @@
 	Replicas ReplicaClient
 	// ReplyMemory bounds the memory of large replies, in bytes.
 	ReplyMemory *semaphore.Weighted
+	// StreamMemory bounds the memory of large events and outputs of streams, in bytes.
+	StreamMemory *semaphore.Weighted
 	// Store tells whether and how this VM reaches the store.
 	Store   *storepath.Path
 	Log     *decisionlog.Log
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -23,9 +23,10 @@
 )
 
 var (
-	errEventSize = errors.New("an event is too large")
-	errTurnSize  = errors.New("the output is too large to be recorded")
-	errEventMany = errors.New("more events than the turn's token limit allows")
+	errStreamMemory = errors.New("no memory is left for a large event or output")
+	errEventSize    = errors.New("an event is too large")
+	errTurnSize     = errors.New("the output is too large to be recorded")
+	errEventMany    = errors.New("more events than the turn's token limit allows")
 )
 
 // streamState is what the caller has received of a stream.
@@ -35,6 +36,7 @@
 	lastID        string       // id of the latest event
 	events        int          // events with data, from all replicas
 	replicaEvents int          // events with data, from the present replica
+	memory        streamMemory // of output, heldBack and the event that is read
 	heldBack      []byte       // the latest event of an answer with a stated length, sent after the turn is recorded
 }
 
@@ -46,7 +48,8 @@
 		x.outcome = "caller lost"
 		return
 	}
-	var s streamState
+	s := streamState{memory: streamMemory{pool: x.StreamMemory}}
+	defer s.memory.release()
 	for {
 		err := x.relayEvents(a, &s)
 		if err == nil {
@@ -56,15 +59,22 @@
 			x.outcome = "caller lost"
 			return
 		}
-		a.end.Failed = x.ctx.Err() == nil
+		ownFault := errors.Is(err, errStreamMemory)
+		a.end.Failed = x.ctx.Err() == nil && !ownFault
 		x.Log.Request("Stream from replica broke off", "id", x.request.ID, "endpoint", x.endpoint, "replica", x.replica, "replicaStartedMS", a.replica.StartedMS, "tokenEvents", s.events, "fingerprint", x.requestPrints().Body, "err", err)
 		x.noteCrash(a, err, s.replicaEvents > 0)
 		x.endAttempt(a)
-		next := x.resume(a, &s, prompt)
+		var next *attempt
+		if !ownFault {
+			next = x.resume(a, &s, prompt)
+		}
 		if next == nil {
 			x.outcome = "stream broken off by the replica"
-			if x.ctx.Err() != nil {
+			switch {
+			case x.ctx.Err() != nil:
 				x.outcome = "stream ended by its time limit"
+			case ownFault:
+				x.outcome = "stream ended for lack of memory"
 			}
 			x.answer.Abort()
 			return
@@ -97,7 +107,7 @@
 // errCallerLost or the reason why the stream broke off.
 func (x *exchange) relayEvents(a *attempt, s *streamState) error {
 	endpoint, _ := x.table.Endpoint(x.endpoint)
-	events := newEventReader(a.reply.Body)
+	events := newEventReader(a.reply.Body, func(bytes int) bool { return s.memory.hold(s.output.Len() + len(s.heldBack) + bytes) })
 	for {
 		event, err := events.next()
 		if err == io.EOF {
@@ -113,6 +123,9 @@
 			if s.output.Len()+len(event.data) > maxTurnBytes {
 				return errTurnSize
 			}
+			if !s.memory.hold(s.output.Len() + len(s.heldBack) + len(event.raw) + len(event.data)) {
+				return errStreamMemory
+			}
 			s.output.Write(event.data)
 			s.output.WriteByte('\n')
 		}
@@ -209,20 +222,28 @@
 }
 
 // eventReader splits a stream into server-sent events.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r *bufio.Reader
+	// hold reports whether there is memory for an event of the given number of bytes.
+	hold func(bytes int) bool
+}
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, 4096)}
+func newEventReader(r io.Reader, hold func(bytes int) bool) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 4096), hold: hold}
 }
 
 // readLine appends the next line to buffer. It fails with errEventSize as soon as the
-// buffer would exceed maxEventBytes, so that a line without an end takes bounded memory.
+// buffer would exceed maxEventBytes, so that a line without an end takes bounded memory,
+// and with errStreamMemory if other streams have taken the memory for it.
 func (e *eventReader) readLine(buffer []byte) ([]byte, error) {
 	for {
 		part, err := e.r.ReadSlice('\n')
 		if len(buffer)+len(part) > maxEventBytes {
 			return buffer, errEventSize
 		}
+		if !e.hold(len(buffer) + len(part)) {
+			return buffer, errStreamMemory
+		}
 		buffer = append(buffer, part...)
 		if err != bufio.ErrBufferFull {
 			return buffer, err
