--- a/internal/process/ledger/expiry_test.go
+++ b/internal/process/ledger/expiry_test.go
@@ -1,11 +1,14 @@
 package ledger
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 	"hornbeamvale.example/hornbeamvale/platform/connection"
 	"hornbeamvale.example/hornbeamvale/platform/platformtest"
@@ -68,3 +71,58 @@
 		require.False(t, a.busy)
 	}
 }
+
+// limitedStore is a store on which only some further transactions succeed.
+type limitedStore struct {
+	platform.PartitionedStore
+	left int
+}
+
+func (s *limitedStore) Transact(ctx context.Context, tx platform.PartitionTx) (platform.PartitionTxResult, error) {
+	if s.left == 0 || len(tx.Conditions)+len(tx.Writes) > 100 {
+		return platform.PartitionTxResult{}, &platform.Error{Kind: platform.NotApplied, Op: "transact"}
+	}
+	s.left--
+	return s.PartitionedStore.Transact(ctx, tx)
+}
+
+// TestLongProgramIsDeletedWhole guards against a long program of which only the first rows
+// are deleted, by key: turns remained that had lost their chain, and were continued.
+func TestLongProgramIsDeletedWhole(t *testing.T) {
+	const turns, retention = 130, time.Minute
+	f := newTestFleet(t)
+	l := f.newVM()
+	parent := ""
+	for i := range turns {
+		id := fmt.Sprintf("%016x", (i*7919)%turns) // keys are not in the order of the turns
+		if i%10 == 9 {
+			parent = fmt.Sprintf("%016x", ((i-5)*7919)%turns) // a branch
+		}
+		require.NoError(t, f.runTurn(l, "p", parent, id, retention))
+		parent = id
+	}
+	f.pass(retention + accountIdleTimeout + time.Second)
+	g := turntree.GroupOf("parish", "p")
+	revision := l.accounts[g].revision
+
+	// Each turn that is left after an interrupted removal has its chain.
+	store := &limitedStore{PartitionedStore: l.store, left: 1}
+	l.store = store
+	l.remove(t.Context(), g, revision)
+	reader := f.newVM()
+	left := 0
+	for _, r := range f.store.Rows(programTable) {
+		if id, ok := turnID(g, r.Key); ok {
+			left++
+			_, err := reader.History(t.Context(), g, "parish", id)
+			require.NoError(t, err)
+		}
+	}
+	require.Greater(t, left, 0)
+	require.Less(t, left, turns)
+
+	store.left = 100
+	l.remove(t.Context(), g, revision)
+	require.Empty(t, f.store.Rows(programTable))
+	require.Empty(t, f.store.Rows(indexTable))
+}
