ledger: Keep rows that another VM has changed since

Cause: a VM deletes a program when the time since its own last change has passed, on the condition of the revision that it knows. If it read a later change of another VM without making one itself, for example to refuse a turn for the budget, it knew the new revision but kept the old time, and deleted rows that had been written 31 s before.

Change: a revision that is read and differs from the known one extends the time.

Measured: TestReadRevisionKeepsTheRows fails on the code before ('the turn was deleted within its retention') and passes now.

--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
@@ -145,8 +146,10 @@
 }
 
 // setFromRows sets the account from rows that the store returned. If its row is
-// missing, the account is that of a new program.
+// missing, the account is that of a new program. A change by another VM since extends the
+// time for which this VM keeps the rows: with the revision it gets the right to delete them.
 func (l *Ledger) setFromRows(a *account, rows []platform.Row) error {
+	known := a.revision
 	a.value, a.revision, a.known = turntree.Account{}, 0, true
 	for _, r := range rows {
 		if r.Key != accountKey(a.group) {
@@ -159,6 +162,9 @@
 		}
 		a.value, a.revision = value, r.Revision
 	}
+	if a.revision != known && !a.expires.IsZero() {
+		a.expires = clock.Later(a.expires, l.now().Add(max(a.value.Retention, minRetention)))
+	}
 	return nil
 }
 
--- a/internal/process/ledger/retention_test.go
+++ b/internal/process/ledger/retention_test.go
@@ -114,3 +114,20 @@
 		f.requireKept("p", "1", 10)
 	})
 }
+
+// TestReadRevisionKeepsTheRows guards against a VM that changed a program long ago, reads a
+// later change of another VM without making one, and deletes the rows by its own old time.
+func TestReadRevisionKeepsTheRows(t *testing.T) {
+	f := newTestFleet(t)
+	a, b := f.newVM(), f.newVM()
+	require.NoError(t, f.runTurn(b, "p", "", "1", shortRetention))
+	f.pass(85 * time.Second)
+	require.NoError(t, f.runTurn(a, "p", "1", "2", shortRetention))
+	open, _ := turnOf("p", "2", "3", shortRetention)
+	open.Budget = 1
+	_, err := b.Open(t.Context(), open)
+	require.ErrorIs(t, err, ErrBudgetExceeded)
+	f.pass(accountIdleTimeout + time.Second)
+	b.expire(t.Context())
+	f.requireKept("p", "2", 8)
+}
