relay: Keep the history of a turn for as long as the turn may run

Cause: the reservation that begins a turn stated the route's retention, counted from the reservation.

Change: the reservation states the time that the turn has left in addition.

Measured: TestHistoryIsKeptWhileItsTurnRuns (the value that is stated; no run of minutes was made). Tests of the relay and the fleet's programs pass.

--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -221,7 +221,7 @@
 	defer cancel()
 	open := ledger.OpenRequest{
 		Group: x.group, Customer: x.owner, Turn: x.request.ID, MaxTokens: x.request.MaxTokens, Budget: p.TokenBudget,
-		Retention: x.route.Retention,
+		Retention: x.retentionFromStart(),
 	}
 	if x.route.KeepsHistory {
 		open.Parent = p.Parent
@@ -236,6 +236,12 @@
 	return nil
 }
 
+// retentionFromStart returns how long the rows of the program have to be kept from now on:
+// the history has to be there when the turn ends, and for the route's retention after that.
+func (x *exchange) retentionFromStart() time.Duration {
+	return x.route.Retention + max(0, clock.Until(x.deadline))
+}
+
 // ledgerRefusal converts an error of the ledger into the caller's refusal.
 func (x *exchange) ledgerRefusal(err error) *refusal.Refusal {
 	switch {
