--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -45,10 +45,12 @@
 // vm is one VM: its process, which is restarted whenever it was stopped or killed, and
 // its link to the store.
 type vm struct {
-	name, binary, file string // binary and file are the paths of the daemon and its settings
-	firstPort          int    // of four
-	link               *connection.Link
-	log                *os.File
+	name, file string // file is the path of the settings
+	binaries   []string
+	starts     int // of processes; each start takes the next one of the binaries
+	firstPort  int // of four
+	link       *connection.Link
+	log        *os.File
 
 	mu      sync.Mutex
 	process *os.Process
@@ -83,13 +85,13 @@
 	return 0
 }
 
-// newVM prepares a VM and starts its process.
-func newVM(t *testing.T, binary, folder string, i int, store *platformtest.Store) *vm {
+// newVM prepares a VM and starts its process. VMs begin with different ones of the binaries.
+func newVM(t *testing.T, binaries []string, folder string, i int, store *platformtest.Store) *vm {
 	link, err := connection.NewLink(store.Address().String(), "vm")
 	require.NoError(t, err)
 	// The ports do not depend on the seed, since they depend on what other processes use.
 	random := rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(i)))
-	v := &vm{name: fmt.Sprintf("vm%d", i), binary: binary, firstPort: freePorts(t, random, i), link: link}
+	v := &vm{name: fmt.Sprintf("vm%d", i), binaries: binaries, starts: i, firstPort: freePorts(t, random, i), link: link}
 	v.file = filepath.Join(folder, v.name+".toml")
 	content := fmt.Appendf(nil, settingsFile, v.name, v.firstPort, v.firstPort+1, v.firstPort+2, v.firstPort+3, int(stopWithin.Seconds()), link.Address())
 	require.NoError(t, os.WriteFile(v.file, content, 0o600))
@@ -108,7 +110,8 @@
 
 // start starts the VM's process.
 func (v *vm) start() error {
-	cmd := exec.CommandContext(context.Background(), v.binary, "--platform")
+	cmd := exec.CommandContext(context.Background(), v.binaries[v.starts%len(v.binaries)], "--platform")
+	v.starts++
 	cmd.Env = append(os.Environ(), "HORNBEAMVALE_NODE_FILE="+v.file)
 	cmd.Stdout, cmd.Stderr = v.log, v.log
 	if err := cmd.Start(); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,7 @@
 	seeds    = flag.Int("seeds", 2, "number of seeds to run")
 	first    = flag.Uint64("first", 1, "first seed; the others follow it")
 	duration = flag.Duration("duration", 10*time.Second, "how long faults are injected for each seed")
+	earlier  = flag.String("earlier", "", "daemon of an earlier build, which every second process runs")
 )
 
 // regressions are seeds that have failed, with the cause. They run in every soak test.
@@ -53,8 +54,12 @@
 	binary := filepath.Join(t.TempDir(), "hornbeamvaled")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/hornbeamvaled").CombinedOutput()
 	require.NoError(t, err, string(out))
+	binaries := []string{binary}
+	if *earlier != "" {
+		binaries = append(binaries, *earlier)
+	}
 	run := func(seed uint64) {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, binaries, seed) })
 	}
 	for seed, cause := range regressions {
 		t.Logf("seed %d failed once: %s", seed, cause)
@@ -93,7 +98,7 @@
 
 // runSeed starts a fleet, injects the faults that a seed gives while callers run
 // programs, and checks all answers at the end.
-func runSeed(t *testing.T, binary string, seed uint64) {
+func runSeed(t *testing.T, binaries []string, seed uint64) {
 	folder, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 7)), connectionRandom: rand.New(rand.NewPCG(seed, 8)), store: platformtest.NewStore(t)}
@@ -116,7 +121,7 @@
 		}
 	}
 	for i := range vms {
-		s.vms = append(s.vms, newVM(t, binary, folder, i, s.store))
+		s.vms = append(s.vms, newVM(t, binaries, folder, i, s.store))
 	}
 	s.checker.waitUntilServed(30 * time.Second)
 	stop := make(chan struct{})
