fleet: Continue a membership only while the others count it

Cause: a process that starts took the row of the process before it for proof that the other VMs still count its VM, and used its shares at once. The row is deleted after 15 s, but the others drop the member after 10 s and take its shares over.

Change: the row has what the store's clock showed when it was written, or earlier. A process continues the membership only if its first renewal is written within 8 s of that, as a running process does; otherwise it waits like a new member.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -72,6 +72,8 @@
 	failedAt atomic.Pointer[time.Time] // time of the last failed call to the store; nil if none failed
 	ctx      context.Context           // of Run; jobs end with it
 	jobs     sync.WaitGroup            // jobs that Run waits for
+	// storeClock is the last reading of the store's clock. Only keepMembership uses it.
+	storeClock storeClock
 }
 
 // Snapshot is the part of the control state that traffic may read. It is immutable.
--- a/internal/process/fleet/members.go
+++ b/internal/process/fleet/members.go
@@ -52,6 +52,23 @@
 	Member `msgpack:",inline"`
 	// Blocks are requests that must not be sent to replicas.
 	Blocks []quarantine.Notice `msgpack:"q,omitempty"`
+	// RenewedAt is what the store's clock showed when the row was written, or earlier. It is
+	// 0 if that is unknown, as in rows of builds up to 19775ae.
+	RenewedAt time.Duration `msgpack:"t,omitempty"`
+}
+
+// storeClock is a reading of the store's clock and the time when it was received.
+type storeClock struct {
+	reading  time.Duration
+	received time.Time
+}
+
+// now returns what the store's clock shows at least; 0 if it was never read.
+func (c storeClock) now() time.Duration {
+	if c.reading == 0 {
+		return 0
+	}
+	return c.reading + clock.Since(c.received)
 }
 
 // memberView is this VM's view of the fleet's members.
@@ -89,6 +106,8 @@
 	Member
 	revision uint64
 	changed  time.Time // when this VM first read the revision; used as the time of the renewal
+	// renewedAt is the RenewedAt of the row.
+	renewedAt time.Duration
 }
 
 func newMemberView(self Member) memberView {
@@ -164,7 +183,8 @@
 
 // keepMembership renews the own row and reads the rows of all members until ctx ends.
 func (l *Loop) keepMembership(ctx context.Context) {
-	wasMember, ok := l.wasMember(ctx)
+	memberUntil, ok := l.readMembership(ctx)
+	wasMember := false
 	for ok && ctx.Err() == nil {
 		sent := clock.Now()
 		err := l.writeMember(ctx, l.config.Self)
@@ -173,6 +193,7 @@
 			clock.Sleep(ctx, storeRetryDelay)
 			continue
 		}
+		wasMember = wasMember || clock.Now().Before(memberUntil)
 		readSent := clock.Now()
 		e, err := l.readMembers(ctx)
 		l.noteStoreError("read members", err)
@@ -186,32 +207,46 @@
 	}
 }
 
-// wasMember returns whether the store has a row of this VM from an earlier process, so
-// that the other VMs already count it. It applies the blocks in the rows before the own
-// row is replaced. ok is false if ctx ended.
-func (l *Loop) wasMember(ctx context.Context) (was, ok bool) {
+// readMembership returns until when the other VMs certainly still count the membership of
+// an earlier process of this VM: a renewal before then continues it. The time is zero if
+// the store has no row of this VM, or one that does not tell its age. It applies the blocks
+// in the rows before the own row is replaced. ok is false if ctx ended.
+func (l *Loop) readMembership(ctx context.Context) (until time.Time, ok bool) {
 	for ctx.Err() == nil {
+		sent := clock.Now()
 		e, err := l.readMembers(ctx)
 		l.noteStoreError("read members", err)
 		if err == nil {
 			applied := make(chan struct{})
 			if l.Post(ctx, quarantineRead{blocks: e.blocks, done: applied}) != nil {
-				return false, false
+				return time.Time{}, false
 			}
 			select {
 			case <-applied:
 			case <-ctx.Done():
-				return false, false
+				return time.Time{}, false
 			}
-			return slices.ContainsFunc(e.members, func(m memberState) bool { return m.Address == l.config.Self.Address }), true
+			return e.membershipEnd(l.config.Self, sent), true
 		}
 		clock.Sleep(ctx, storeRetryDelay)
 	}
-	return false, false
+	return time.Time{}, false
+}
+
+// membershipEnd returns the time until which the other VMs certainly count the membership
+// of a VM by its row in a read that was sent at the given time; zero if it is not known.
+func (e membersRead) membershipEnd(vm Member, sent time.Time) time.Time {
+	for _, m := range e.members {
+		if m.Address == vm.Address && m.renewedAt > 0 && e.storeClock.reading > 0 {
+			age := max(0, e.storeClock.reading-m.renewedAt)
+			return sent.Add(memberUseTimeout - age)
+		}
+	}
+	return time.Time{}
 }
 
 func (l *Loop) writeMember(ctx context.Context, self Member) error {
-	row := memberRow{Member: self}
+	row := memberRow{Member: self, RenewedAt: l.storeClock.now()}
 	if !l.Snapshot().Quarantine.Empty() {
 		reply := make(chan []quarantine.Notice, 1)
 		if err := l.Post(ctx, memberRowBlocks{reply}); err != nil {
@@ -242,22 +277,25 @@
 	if err != nil {
 		return membersRead{}, err
 	}
-	e := membersRead{}
+	e := membersRead{storeClock: storeClock{page.StoreClock, clock.Now()}}
+	if page.StoreClock > 0 {
+		l.storeClock = e.storeClock
+	}
 	for _, row := range page.Rows {
 		var member memberRow
 		if err := msgpack.Unmarshal(row.Value, &member); err != nil {
 			l.config.Log.State("Failed to decode member row", "address", row.Key.Key, "revision", row.Revision, "err", err)
 			continue
 		}
-		e.members = append(e.members, memberState{Member: member.Member, revision: row.Revision})
+		e.members = append(e.members, memberState{Member: member.Member, revision: row.Revision, renewedAt: member.RenewedAt})
 		e.blocks = append(e.blocks, member.Blocks...)
 	}
 	return e, nil
 }
 
 // membersRead is the event that all members were read after the own row was renewed.
-// wasMember is set if an earlier process of this VM was a member, so that the others
-// already counted it. renewed is when the renewal was sent, sent when the read was.
+// wasMember is set if an earlier process of this VM was a member and the renewal came in
+// time to continue its membership. renewed is when the renewal was sent, sent when the read was.
 type membersRead struct {
 	members []memberState
 	// blocks are the blocks of requests in the rows.
@@ -265,6 +303,8 @@
 	wasMember bool
 	renewed   time.Time
 	sent      time.Time
+	// storeClock is the store's clock at the read.
+	storeClock storeClock
 }
 
 // Apply implements Event.
--- a/internal/process/platform/partitioned.go
+++ b/internal/process/platform/partitioned.go
@@ -26,6 +26,9 @@
 	Rows []Row
 	// Revision is the store's revision at the time of the read.
 	Revision uint64
+	// StoreClock is what the store's steady clock showed then, since a fixed time in the
+	// past; 0 if it is unknown, as it is through a VM of a build before this field.
+	StoreClock time.Duration `msgpack:",omitempty"`
 }
 
 // PartitionTx is a transaction over the rows of one partition. The store applies the
