fleet: Rank the members of a rate once

The holders of a rate and the VMs that rank next were ranked separately, which doubled the work of the control thread at each change of the members. Both come from one ranking now; the result is the same.

Tests of the packages pass.

--- a/internal/process/fleet/members.go
+++ b/internal/process/fleet/members.go
@@ -131,18 +131,18 @@
 // fewer holders, so that each share holds some tokens. All VMs with the same view
 // choose the same holders. If a VM joins or leaves, at most one holder changes.
 func (v *memberView) holders(customer string, rate float64) []Member {
-	return v.ranked("holder", customer, holderCount(rate))
+	holders, _ := v.holdersAndNext(customer, rate)
+	return holders
 }
 
-// formerHolders returns the members that rank next after the holders.
-func (v *memberView) formerHolders(customer string, rate float64) []Member {
-	n := holderCount(rate)
+// holdersAndNext returns the holders and the maxFormerHolders members that rank next.
+func (v *memberView) holdersAndNext(customer string, rate float64) (holders, next []Member) {
+	n := max(minShareHolders, int(rate/minShareRate))
 	ranked := v.ranked("holder", customer, n+maxFormerHolders)
-	return ranked[min(n, len(ranked)):]
+	n = min(n, len(ranked))
+	return ranked[:n:n], ranked[n:]
 }
 
-func holderCount(rate float64) int { return max(minShareHolders, int(rate/minShareRate)) }
-
 // ranked returns the n members, or all if there are fewer, that rank first for a subject
 // by a hash. purpose tells independent rankings apart.
 func (v *memberView) ranked(purpose, subject string, n int) []Member {
--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -221,7 +221,7 @@
 // share that it has lost is used until its new holder may begin.
 func (s *State) applyRate(now time.Time, c *version.Customer, r *rateShare) {
 	wasHolder := r.holds
-	r.holders, r.formerHolders = s.members.holders(c.Name, c.Rate), s.members.formerHolders(c.Name, c.Rate)
+	r.holders, r.formerHolders = s.members.holdersAndNext(c.Name, c.Rate)
 	r.holds = s.members.includesSelf(r.holders)
 	switch {
 	case r.holds && !wasHolder && !s.members.firstRead:
