ledger: Log why a turn is not found and how many index entries a deletion removes

The log showed the refusal only, and the deletion of an expired program its rows, but not that it deleted index entries as well.

No change of logic.

--- a/internal/process/ledger/expire.go
+++ b/internal/process/ledger/expire.go
@@ -42,14 +42,19 @@
 	if len(page.Rows) == 0 {
 		return
 	}
-	deleted := true
+	deleted, indexEntries := true, 0
 	for _, writes := range deletions(g, page.Rows) {
 		if deleted, err = l.removeRows(ctx, g, revision, writes); !deleted {
 			break
 		}
+		for _, w := range writes {
+			if w.Table == indexTable {
+				indexEntries++
+			}
+		}
 	}
-	l.options.Log.Request("Deleted the rows of an expired program", "group", g, "rows", len(page.Rows), "revision", revision,
-		"deleted", deleted, "err", err)
+	l.options.Log.Request("Deleted the rows of an expired program", "group", g, "rows", len(page.Rows), "indexEntries", indexEntries,
+		"revision", revision, "deleted", deleted, "err", err)
 }
 
 // removeRows makes one transaction of a removal. It reports whether it was committed.
--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -137,6 +137,7 @@
 		return StoredTurn{}, err
 	}
 	if found == "" {
+		l.options.Log.Request("Turn has no index entry", "id", id, "searchedGroup", g)
 		return StoredTurn{}, ErrTurnNotFound
 	}
 	if err := l.loadGroup(ctx, found); err != nil {
@@ -145,6 +146,7 @@
 	if t, ok := l.cachedTurn(id); ok {
 		return t, nil
 	}
+	l.options.Log.Request("Indexed group has no rows of the turn", "id", id, "group", found)
 	return StoredTurn{}, ErrTurnNotFound
 }
 
