ledger: Delete index entries of a program's own turns only

Cause: a program stores copies of the turns of other programs that it continues. When it expired, deletions removed the index entry of every turn among its rows. The entry of a copied turn belongs to the program that recorded it, and was lost where both programs are in the same partition.

Change: copies are marked, and a removal deletes the entries of own turns. Where the marks are missing, the removal reads the index entry of each turn and compares the group. The mark takes no byte in accounts and turns of a program and 3 bytes in a copy; a removal of marked turns makes the calls that it made before.

Result: TestExpiryKeepsTurnsOfOtherPrograms fails in four of its five cases on the commit before (404 for the kept turn) and passes now, as does the whole package.

--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -262,6 +262,7 @@
 			l.retry(u, nil)
 			continue
 		}
+		value.MarksCopies = value.MarksCopies || u.account.revision == 0
 		if u.account.revision != 0 && u.account.value.Retention == 0 {
 			value.Retention = max(value.Retention, l.options.LongestRetention())
 		}
--- a/internal/process/ledger/expire.go
+++ b/internal/process/ledger/expire.go
@@ -1,14 +1,18 @@
 package ledger
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"time"
 
+	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
 
+// indexReadInterval is the time between two reads of index entries for a removal. It keeps the
+// reads, which no caller waits for, far below the store's rate.
+const indexReadInterval = 20 * time.Millisecond
+
 // expire drops idle accounts from memory and deletes the stored rows of groups whose
 // retention has ended.
 func (l *Ledger) expire(ctx context.Context) {
@@ -42,19 +46,20 @@
 	if len(page.Rows) == 0 {
 		return
 	}
-	deleted, indexEntries := true, 0
-	for _, writes := range deletions(g, page.Rows) {
+	rows := parseGroup(g, page.Rows)
+	index, err := l.indexEntries(ctx, g, rows)
+	if err != nil {
+		l.options.Log.Request("Failed to read the index entries of an expired program", "group", g, "err", err)
+		return
+	}
+	deleted := true
+	for _, writes := range deletions(rows, index) {
 		if deleted, err = l.removeRows(ctx, g, revision, writes); !deleted {
 			break
 		}
-		for _, w := range writes {
-			if w.Table == indexTable {
-				indexEntries++
-			}
-		}
 	}
-	l.options.Log.Request("Deleted the rows of an expired program", "group", g, "rows", len(page.Rows), "indexEntries", indexEntries,
-		"revision", revision, "deleted", deleted, "err", err)
+	l.options.Log.Request("Deleted the rows of an expired program", "group", g, "rows", len(page.Rows), "turns", len(rows.turns),
+		"indexEntries", len(index), "copiesMarked", rows.marksCopies(), "revision", revision, "deleted", deleted, "err", err)
 }
 
 // removeRows makes one transaction of a removal. It reports whether it was committed.
@@ -67,60 +72,59 @@
 	return err == nil && result.Committed, err
 }
 
-// deletions returns the writes that delete a group, in transactions of limited size. Each
-// turn is deleted before its parent and the account last, so that whatever remains after a
-// failure has its whole chain.
-func deletions(g turntree.Group, rows []platform.Row) [][]platform.Write {
-	turns := map[string][]platform.Write{}
-	encoded := map[string][]byte{}
-	var account []platform.Write
-	for _, r := range rows {
-		id, ok := turnID(g, r.Key.Key)
-		if !ok {
-			account = append(account, platform.Write{Key: r.Key, Delete: true})
+// indexEntries returns the index entries of the group's own turns, by turn. The entry of a
+// copied turn belongs to the group that recorded the turn, which may be in the same partition.
+func (l *Ledger) indexEntries(ctx context.Context, g turntree.Group, rows groupRows) (map[string]platform.Key, error) {
+	entries := map[string]platform.Key{}
+	for id, t := range rows.turns {
+		key := platform.Key{Table: indexTable, Key: id}
+		if rows.marksCopies() && t.err == nil {
+			if !t.turn.Copied {
+				entries[id] = key
+			}
 			continue
 		}
-		if turns[id] == nil {
-			turns[id] = []platform.Write{{Key: platform.Key{Table: indexTable, Key: id}, Delete: true}}
+		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		entry, err := l.readIndex(readCtx, g.Partition(), id)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		if entry == g {
+			entries[id] = key
 		}
-		turns[id] = append(turns[id], platform.Write{Key: r.Key, Delete: true})
-		encoded[id] = append(encoded[id], r.Value...)
+		clock.Sleep(ctx, indexReadInterval)
 	}
+	return entries, nil
+}
+
+// deletions returns the writes that delete a group with the index entries of its own turns, in
+// transactions of limited size. Each turn is deleted before its parent and the account last, so
+// that whatever remains after a failure has its whole chain.
+func deletions(rows groupRows, index map[string]platform.Key) [][]platform.Write {
 	var out [][]platform.Write
 	var next []platform.Write
-	for _, id := range childrenFirst(encoded) {
-		if len(next) > 0 && len(next)+len(turns[id]) > maxWrites {
+	add := func(writes []platform.Write) {
+		if len(next) > 0 && len(next)+len(writes) > maxWrites {
 			out, next = append(out, next), nil
 		}
-		next = append(next, turns[id]...)
+		next = append(next, writes...)
 	}
-	if len(next)+len(account) > maxWrites {
-		out, next = append(out, next), nil
+	for _, id := range rows.childrenFirst() {
+		var writes []platform.Write
+		if key, ok := index[id]; ok {
+			writes = append(writes, platform.Write{Key: key, Delete: true})
+		}
+		add(append(writes, deleteRows(rows.turns[id].rows)...))
 	}
-	return append(out, append(next, account...))
+	add(deleteRows(rows.account))
+	return append(out, next)
 }
 
-// childrenFirst returns the ids of the encoded turns in an order in which each turn precedes
-// its parent. A turn that cannot be decoded counts as the first of its history.
-func childrenFirst(encoded map[string][]byte) []string {
-	parents := map[string]string{}
-	var ids []string
-	for id, data := range encoded {
-		ids = append(ids, id)
-		if t, err := turntree.DecodeTurn(data); err == nil {
-			parents[id] = t.Parent
-		}
-	}
-	depths := map[string]int{}
-	for _, id := range ids {
-		var path []string
-		for at := id; at != "" && depths[at] == 0 && len(path) <= len(ids); at = parents[at] {
-			path = append(path, at)
-		}
-		for _, at := range slices.Backward(path) {
-			depths[at] = depths[parents[at]] + 1
-		}
+func deleteRows(rows []platform.Row) []platform.Write {
+	var writes []platform.Write
+	for _, r := range rows {
+		writes = append(writes, platform.Write{Key: r.Key, Delete: true})
 	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(depths[b], depths[a]) })
-	return ids
+	return writes
 }
--- a/internal/process/ledger/expiry_test.go
+++ b/internal/process/ledger/expiry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -126,3 +127,69 @@
 	require.Empty(t, f.store.Rows(programTable))
 	require.Empty(t, f.store.Rows(indexTable))
 }
+
+// programsIn returns n programs whose rows are in the given partition.
+func programsIn(partition, n int) []string {
+	var names []string
+	for i := 0; len(names) < n; i++ {
+		name := fmt.Sprintf("p%d", i)
+		if turntree.GroupOf("parish", name).PartitionNumber() == partition {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// TestExpiryKeepsTurnsOfOtherPrograms guards against an expired program that takes the index
+// entries of turns with it which it had only copied: they got 404 within their retention.
+func TestExpiryKeepsTurnsOfOtherPrograms(t *testing.T) {
+	type vms struct{ kept, visitor, remover *Ledger }
+	for name, c := range map[string]struct {
+		start func(f *testFleet) vms
+		// visitorPartition is the partition of the programs that expire; the other is in 0.
+		visitorPartition int
+	}{
+		"in the same partition": {start: func(f *testFleet) vms { l := f.newVM(); return vms{l, l, l} }},
+		"in another partition":  {start: func(f *testFleet) vms { l := f.newVM(); return vms{l, l, l} }, visitorPartition: 3},
+		"at another VM":         {start: func(f *testFleet) vms { l := f.newVM(); return vms{f.newVM(), l, l} }},
+		"copied by the earlier build": {start: func(f *testFleet) vms {
+			return vms{f.newVM(), f.newEarlierVM(), f.newVM()}
+		}},
+		"recorded by the earlier build": {start: func(f *testFleet) vms {
+			return vms{f.newEarlierVM(), f.newVM(), f.newVM()}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			on := c.start(f)
+			kept := programsIn(0, 1)[0]
+			require.NoError(t, f.runTurn(on.kept, kept, "", "1", longRetention))
+			require.NoError(t, f.runTurn(on.kept, kept, "1", "2", longRetention))
+			visitors := programsIn(c.visitorPartition, 4)[1:]
+			for i, visitor := range visitors {
+				require.NoError(t, f.runTurn(on.visitor, visitor, "2", fmt.Sprint("v", i), shortRetention))
+				require.NoError(t, f.runTurn(on.remover, visitor, fmt.Sprint("v", i), fmt.Sprint("w", i), shortRetention))
+			}
+			f.pass(shortRetention + accountIdleTimeout + time.Second)
+			var wait sync.WaitGroup
+			for _, l := range []*Ledger{on.kept, on.visitor, on.remover} {
+				wait.Go(func() { l.expire(t.Context()) })
+			}
+			wait.Wait()
+			f.requireKept(kept, "2", 8)
+			f.requireKept(kept, "1", 8)
+			require.NoError(t, f.runTurn(f.newVM(), "new", "2", "3", longRetention), "a new program cannot go on")
+			for i, visitor := range visitors {
+				_, err := f.newVM().History(t.Context(), turntree.GroupOf("parish", visitor), "parish", fmt.Sprint("w", i))
+				require.ErrorIs(t, err, ErrTurnNotFound, "an expired turn is kept")
+			}
+			require.Len(t, f.store.Rows(indexTable), 3, "index entries of expired turns remain")
+
+			// All other programs end in the same search.
+			f.pass(longRetention + accountIdleTimeout)
+			on.kept.expire(t.Context())
+			require.NoError(t, f.runTurn(f.newVM(), "newer", "3", "4", longRetention), "a program ended with the copies of another")
+			require.Len(t, f.store.Rows(indexTable), 2)
+		})
+	}
+}
--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -160,12 +160,7 @@
 	var wait sync.WaitGroup
 	for i, partition := range partitions {
 		wait.Go(func() {
-			l.count(func(c *Counters) { c.Reads++ })
-			page, err := l.store.Range(ctx, platform.RangeQuery{Table: indexTable, Part: partition, From: id, To: id + "\x00"})
-			if err == nil && len(page.Rows) == 1 {
-				found[i] = turntree.Group(page.Rows[0].Value)
-			}
-			errs[i] = err
+			found[i], errs[i] = l.readIndex(ctx, partition, id)
 		})
 	}
 	wait.Wait()
@@ -177,6 +172,16 @@
 	return "", errors.Join(errs...)
 }
 
+// readIndex returns the group that a partition's index names for a turn, or "".
+func (l *Ledger) readIndex(ctx context.Context, partition, id string) (turntree.Group, error) {
+	l.count(func(c *Counters) { c.Reads++ })
+	page, err := l.store.Range(ctx, platform.RangeQuery{Table: indexTable, Part: partition, From: id, To: id + "\x00"})
+	if err != nil || len(page.Rows) == 0 {
+		return "", err
+	}
+	return turntree.Group(page.Rows[0].Value), nil
+}
+
 // readGroup reads all rows of a group.
 func (l *Ledger) readGroup(ctx context.Context, g turntree.Group) (platform.Page, error) {
 	l.count(func(c *Counters) { c.Reads++ })
@@ -190,26 +195,13 @@
 	if err != nil {
 		return err
 	}
-	encoded := map[string][]byte{}
-	for _, r := range page.Rows {
-		if id, ok := turnID(g, r.Key.Key); ok {
-			encoded[id] = append(encoded[id], r.Value...)
-		}
-	}
-	revisions := map[string]uint64{}
-	for _, r := range page.Rows {
-		if id, ok := turnID(g, r.Key.Key); ok && r.Key.Key == turnKey(g, id) {
-			revisions[id] = r.Revision
-		}
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, data := range encoded {
-		t, err := turntree.DecodeTurn(data)
-		if err != nil {
-			return fmt.Errorf("turn %s: %w", id, err)
+	for id, t := range parseGroup(g, page.Rows).turns {
+		if t.err != nil {
+			return fmt.Errorf("turn %s: %w", id, t.err)
 		}
-		l.turns.add(StoredTurn{ID: id, Group: g, Turn: t, revision: revisions[id]})
+		l.turns.add(StoredTurn{ID: id, Group: g, Turn: t.turn, revision: t.rows[0].Revision})
 	}
 	if a := l.account(g); !a.busy && !a.known {
 		return l.setFromRows(a, page.Rows)
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -272,6 +272,7 @@
 	}
 	writes = append(writes, platform.Write{Key: platform.Key{Table: indexTable, Key: r.ID}, Value: []byte(r.Group)})
 	for _, t := range r.History.fromOtherGroups(r.Group).Turns {
+		t.Turn.Copied = true
 		copied, err := splitRows(turnKey(r.Group, t.ID), t.Turn)
 		if err != nil {
 			return nil, err
--- a/internal/process/turntree/account_test.go
+++ b/internal/process/turntree/account_test.go
@@ -58,3 +58,41 @@
 	_, err = DecodeAccount(data)
 	require.Error(t, err)
 }
+
+// TestMarkOfCopiesBesideTheBuildBefore guards against a build up to 7f97bc3 that misreads an
+// account with the mark of copies, or that keeps the mark although it adds copies without it.
+func TestMarkOfCopiesBesideTheBuildBefore(t *testing.T) {
+	a := Account{Spent: 7, Retention: time.Minute, MarksCopies: true, Reserved: map[string]int64{"1": 20}}
+	data, err := EncodeAccount(a)
+	require.NoError(t, err)
+	got, err := DecodeAccount(data)
+	require.NoError(t, err)
+	require.Equal(t, a, got)
+
+	// The build before takes the retention from the key of its entry and drops the entry.
+	var before earlierAccount
+	require.NoError(t, msgpack.Unmarshal(data, &before))
+	require.Contains(t, before.Reserved, retentionKey+"60000")
+	delete(before.Reserved, retentionKey+"60000")
+	require.Equal(t, a.Reserved, before.Reserved)
+
+	before.Reserved[retentionKey+"60000"] = 0
+	data, err = msgpack.Marshal(before)
+	require.NoError(t, err)
+	got, err = DecodeAccount(data)
+	require.NoError(t, err)
+	a.MarksCopies = false
+	require.Equal(t, a, got)
+
+	// The build before reads a marked copy as any other turn.
+	data, err = Encode(Turn{Customer: "c", Parent: "p", Input: []byte("i"), Output: []byte("o"), Copied: true})
+	require.NoError(t, err)
+	var turnBefore struct {
+		Customer string `msgpack:"c"`
+		Parent   string `msgpack:"p,omitempty"`
+		Input    []byte `msgpack:"i"`
+		Output   []byte `msgpack:"o"`
+	}
+	require.NoError(t, msgpack.Unmarshal(data, &turnBefore))
+	require.Equal(t, "i/o", string(turnBefore.Input)+"/"+string(turnBefore.Output))
+}
--- a/internal/process/turntree/turntree.go
+++ b/internal/process/turntree/turntree.go
@@ -72,6 +72,9 @@
 	// Replica is the replica that answered the turn. It probably has the history in its
 	// cache.
 	Replica string `msgpack:"r,omitempty"`
+	// Copied is set in a copy of another group's turn. Builds up to 7f97bc3 make copies
+	// without it.
+	Copied bool `msgpack:"k,omitempty"`
 }
 
 // Account limits the tokens that all turns of a program may generate. A turn's limit is
@@ -85,14 +88,18 @@
 	// Retention is how long the program's rows are kept after each change: the longest time
 	// that any change has stated; 0 if none has.
 	Retention time.Duration
+	// MarksCopies is set if Turn.Copied tells which turns of the group are copies. It is lost
+	// when a build up to 7f97bc3, which may add copies without the mark, changes the account,
+	// and is stored only together with a Retention.
+	MarksCopies bool
 }
 
 // storedAccount is the encoding of an Account.
 type storedAccount struct {
 	Spent int64 `msgpack:"s"`
-	// Reserved also has an entry without tokens whose key contains the retention. Builds up
-	// to 19775ae drop fields that they don't know when they write an account, but keep all
-	// reservations.
+	// Reserved also has an entry whose key contains the retention. Builds up to 19775ae drop
+	// fields that they don't know when they write an account, but keep all reservations. The
+	// entry's value is marksCopies or 0. Builds up to 7f97bc3 ignore it and write 0.
 	Reserved map[string]int64 `msgpack:"r,omitempty"`
 }
 
@@ -100,6 +107,9 @@
 // id of a turn begins with NUL.
 const retentionKey = "\x00retention-ms="
 
+// marksCopies is the value of that entry in an account with MarksCopies.
+const marksCopies = 1
+
 // Reserve reserves maxTokens for a turn. It returns false if they do not fit into the
 // budget. A budget of 0 means no limit. A repeated reservation of the same turn changes
 // nothing.
@@ -171,7 +181,11 @@
 func EncodeAccount(a Account) ([]byte, error) {
 	stored := storedAccount{Spent: a.Spent, Reserved: a.Reserved}
 	if a.Retention > 0 {
-		stored.Reserved = map[string]int64{retentionKey + strconv.FormatInt(a.Retention.Milliseconds(), 10): 0}
+		key := retentionKey + strconv.FormatInt(a.Retention.Milliseconds(), 10)
+		stored.Reserved = map[string]int64{key: 0}
+		if a.MarksCopies {
+			stored.Reserved[key] = marksCopies
+		}
 		maps.Copy(stored.Reserved, a.Reserved)
 	}
 	return Encode(stored)
@@ -187,7 +201,7 @@
 		return Account{}, &Error{Record: "account", Err: err}
 	}
 	a := Account{Spent: stored.Spent, Reserved: stored.Reserved}
-	for key := range stored.Reserved {
+	for key, value := range stored.Reserved {
 		text, ok := strings.CutPrefix(key, retentionKey)
 		if !ok {
 			continue
@@ -197,6 +211,7 @@
 			return Account{}, &Error{Record: "account", Err: err}
 		}
 		a.Retention = max(a.Retention, time.Duration(ms)*time.Millisecond)
+		a.MarksCopies = value == marksCopies
 		delete(a.Reserved, key)
 	}
 	return a, nil
