ledger: Second index entries while VMs of the earlier build may delete the first

Change: a member's row says whether the VM keeps the entries of others (KeepsIndex). While a member does not, each recorded turn gets a second entry under another key of the same table, which the read of the first entry returns as well, and VMs of this build choose no home among such members. A removal of such a program reads the entries. A turn that is cached counts as stored only if a group that the index names has its row, since a second entry may outlive the rows.

--- a/cmd/hornbeamvaled/fleet.go
+++ b/cmd/hornbeamvaled/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"reflect"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,7 +222,7 @@
 	store.OnSilentClose = logSilentClose(log, "store")
 	d.store = storepath.New(store, d.storeProxies, pathLog{log})
 	d.loop = fleet.NewLoop(fleet.Config{
-		Self:    fleet.Member{VM: s.VM, Address: s.PeerAddress.String(), Region: region(s)},
+		Self:    fleet.Member{VM: s.VM, Address: s.PeerAddress.String(), Region: region(s), KeepsIndex: true},
 		Regions: s.Regions, Cold: fleet.ColdBounds{Overage: s.ColdOverage, Tolerance: s.ColdTolerance},
 		Store: d.store, Sources: platformversion.Sources(), Log: log,
 		Picker:    placement.FleetPicker{Profile: placement.FleetProfile(), DataCentre: s.DataCentre},
@@ -235,7 +236,7 @@
 	d.detour = &detour.Client{Direct: replicas, Path: d.path, Proxies: d.replicaProxies, Region: region(s)}
 	server.Loop, server.Path, server.ReplicaPath, server.MayForward = d.loop, d.store, d.path, d.loop.MayForward
 	d.ledger = ledger.New(running, d.store, ledger.Options{
-		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare, LongestRetention: d.longestRetention, Log: log,
+		CacheBytes: int(turnCacheFraction * float64(s.MemoryBytes)), Rate: d.storeShare, LongestRetention: d.longestRetention, EarlierBuilds: d.earlierBuilds, Log: log,
 	})
 	server.Ledger = d.ledger
 	instruments, metrics, err := d.newMetrics()
@@ -367,12 +368,19 @@
 	return table.LongestRetention()
 }
 
+// earlierBuilds returns whether a VM of the fleet runs a build that deletes index entries of
+// copied turns.
+func (d *fleetDaemon) earlierBuilds() bool {
+	return slices.ContainsFunc(d.loop.Snapshot().Members, func(m fleet.Member) bool { return !m.KeepsIndex })
+}
+
 // home returns the VM that applies the changes of a program's group of rows, a VM in an
 // allowed region. It returns false if that is this VM, if skip returns true for all
-// candidates, or if no VM is in an allowed region.
+// candidates, or if no VM is in an allowed region. VMs of earlier builds are no candidates: a
+// turn that they record has no second index entry.
 func (d *fleetDaemon) home(g turntree.Group, allowed routing.AllowedRegions, skip func(vm string) bool) (ledger.Home, bool) {
-	member, ok := fleet.HomeOf(fleet.MembersIn(d.loop.Snapshot().Members, allowed), g, func(vm string) bool {
-		return vm != d.settings.VM && skip(vm)
+	member, ok := fleet.HomeOf(fleet.MembersIn(d.loop.Snapshot().Members, allowed), g, func(m fleet.Member) bool {
+		return m.VM != d.settings.VM && (!m.KeepsIndex || skip(m.VM))
 	})
 	if !ok || member.VM == d.settings.VM {
 		return nil, false
--- a/internal/process/fleet/home.go
+++ b/internal/process/fleet/home.go
@@ -15,7 +15,7 @@
 // address. In a large fleet they are divided into groups, each for some partitions of
 // the store, so that more of the changes that a VM makes are in the same partition and
 // can share a transaction.
-func HomeOf(members []Member, g turntree.Group, skip func(vm string) bool) (Member, bool) {
+func HomeOf(members []Member, g turntree.Group, skip func(m Member) bool) (Member, bool) {
 	memberGroups := 1
 	for memberGroups < turntree.PartitionCount && len(members) >= 2*memberGroups*minHomesPerGroup {
 		memberGroups *= 2
@@ -24,7 +24,7 @@
 	var bestRank uint64
 	for i := g.PartitionNumber() % memberGroups; i < len(members); i += memberGroups {
 		rank := hashing.Sum("home", string(g), members[i].Address)
-		if rank >= bestRank && !skip(members[i].VM) {
+		if rank >= bestRank && !skip(members[i]) {
 			best, bestRank = members[i], rank
 		}
 	}
--- a/internal/process/fleet/home_test.go
+++ b/internal/process/fleet/home_test.go
@@ -10,7 +10,7 @@
 )
 
 // homesOf returns the number of groups by home VM and partition, in a fleet of n VMs.
-func homesOf(t *testing.T, n, groups int, skip func(string) bool) map[string]map[string]int {
+func homesOf(t *testing.T, n, groups int, skip func(Member) bool) map[string]map[string]int {
 	var members []Member
 	for i := range n {
 		members = append(members, member(100+i))
@@ -20,7 +20,7 @@
 		g := turntree.GroupOf("parish", fmt.Sprint(i))
 		home, ok := HomeOf(members, g, skip)
 		require.True(t, ok)
-		require.False(t, skip(home.VM))
+		require.False(t, skip(home))
 		if homes[home.VM] == nil {
 			homes[home.VM] = map[string]int{}
 		}
@@ -29,7 +29,7 @@
 	return homes
 }
 
-func skipNone(string) bool { return false }
+func skipNone(Member) bool { return false }
 
 // TestHomesAreBalanced guards against a VM that is the home of far more programs than
 // the others. In a large fleet it also guards against a VM whose programs are spread
@@ -54,7 +54,7 @@
 // responsive home, when some VMs do not answer.
 func TestSkippedHomes(t *testing.T) {
 	members := []Member{member(100), member(101), member(102), member(103), member(104)}
-	skip := func(vm string) bool { return vm == "vm101" }
+	skip := func(m Member) bool { return m.VM == "vm101" }
 	for i := range 200 {
 		g := turntree.GroupOf("parish", fmt.Sprint(i))
 		before, _ := HomeOf(members, g, skipNone)
@@ -65,7 +65,7 @@
 			require.Equal(t, before, after)
 		}
 	}
-	_, ok := HomeOf(members, turntree.GroupOf("parish", "1"), func(string) bool { return true })
+	_, ok := HomeOf(members, turntree.GroupOf("parish", "1"), func(Member) bool { return true })
 	require.False(t, ok)
 	_, ok = HomeOf(nil, turntree.GroupOf("parish", "1"), skipNone)
 	require.False(t, ok)
--- a/internal/process/fleet/members.go
+++ b/internal/process/fleet/members.go
@@ -35,6 +35,9 @@
 	// Region is the region of the VM; empty if it is not known, as in rows of builds up to
 	// 8468140.
 	Region string `msgpack:"rg,omitempty"`
+	// KeepsIndex is set if the VM deletes index entries of an expired program's own turns only.
+	// Builds up to 7f97bc3 delete those of copied turns as well, and have no such field.
+	KeepsIndex bool `msgpack:"ki,omitempty"`
 }
 
 // memberRow is the value of a member's row.
--- a/internal/process/fleet/regions_test.go
+++ b/internal/process/fleet/regions_test.go
@@ -59,14 +59,14 @@
 }
 
 // TestMemberRowsBetweenBuildsWithRegions guards against member rows that build 8468140, which
-// knows no regions, or this one misreads.
+// knows no regions, or 7f97bc3, which does not know KeepsIndex, or this one misreads.
 func TestMemberRowsBetweenBuildsWithRegions(t *testing.T) {
 	type earlierMember struct {
 		VM      string `msgpack:"vm"`
 		Address string `msgpack:"a"`
 	}
 	m := member(3)
-	m.Region = "north"
+	m.Region, m.KeepsIndex = "north", true
 	data, err := msgpack.Marshal(memberRow{Member: m})
 	require.NoError(t, err)
 	var earlier struct {
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -39,6 +39,8 @@
 	// transaction.
 	apply func(a *turntree.Account) error
 	rows  []platform.Write
+	// moreIndexEntries is set if rows have more than one index entry.
+	moreIndexEntries bool
 	// parent is a turn of the group that must be stored when the change is committed.
 	parent parentTurn
 	ctx    context.Context
@@ -121,6 +123,7 @@
 			continue
 		}
 		value.Retention = max(value.Retention, c.retention)
+		value.IndexKnown = value.IndexKnown && !c.moreIndexEntries
 		applied = append(applied, c)
 	}
 	return value, applied, rejected
--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -256,13 +256,14 @@
 func (l *Ledger) applyChanges(batch []accountUpdate) []accountUpdate {
 	ready := batch[:0]
 	for _, u := range batch {
-		value, applied, rejected := applyAll(u.account.value, u.changes)
+		from := u.account.value
+		from.IndexKnown = from.IndexKnown || u.account.revision == 0 // the account is new
+		value, applied, rejected := applyAll(from, u.changes)
 		if len(rejected) > 0 && !u.freshlyRead {
 			u.account.known = false
 			l.retry(u, nil)
 			continue
 		}
-		value.MarksCopies = value.MarksCopies || u.account.revision == 0
 		if u.account.revision != 0 && u.account.value.Retention == 0 {
 			value.Retention = max(value.Retention, l.options.LongestRetention())
 		}
--- a/internal/process/ledger/earlier_test.go
+++ b/internal/process/ledger/earlier_test.go
@@ -46,7 +46,7 @@
 		default:
 			account, err := turntree.DecodeAccount(w.Value)
 			require.NoError(s.f.t, err)
-			account.MarksCopies = false
+			account.IndexKnown = false
 			w.Value, err = turntree.EncodeAccount(account)
 			require.NoError(s.f.t, err)
 		}
--- a/internal/process/ledger/expire.go
+++ b/internal/process/ledger/expire.go
@@ -47,7 +47,7 @@
 		return
 	}
 	rows := parseGroup(g, page.Rows)
-	index, err := l.indexEntries(ctx, g, rows)
+	index, err := l.ownIndexEntries(ctx, g, rows)
 	if err != nil {
 		l.options.Log.Request("Failed to read the index entries of an expired program", "group", g, "err", err)
 		return
@@ -59,7 +59,7 @@
 		}
 	}
 	l.options.Log.Request("Deleted the rows of an expired program", "group", g, "rows", len(page.Rows), "turns", len(rows.turns),
-		"indexEntries", len(index), "copiesMarked", rows.marksCopies(), "revision", revision, "deleted", deleted, "err", err)
+		"indexEntries", len(index), "indexKnown", rows.indexKnown(), "revision", revision, "deleted", deleted, "err", err)
 }
 
 // removeRows makes one transaction of a removal. It reports whether it was committed.
@@ -72,36 +72,38 @@
 	return err == nil && result.Committed, err
 }
 
-// indexEntries returns the index entries of the group's own turns, by turn. The entry of a
-// copied turn belongs to the group that recorded the turn, which may be in the same partition.
-func (l *Ledger) indexEntries(ctx context.Context, g turntree.Group, rows groupRows) (map[string]platform.Key, error) {
-	entries := map[string]platform.Key{}
+// ownIndexEntries returns the index entries of the group's own turns, by turn. The entries of a
+// copied turn belong to the group that recorded the turn, which may be in the same partition.
+func (l *Ledger) ownIndexEntries(ctx context.Context, g turntree.Group, rows groupRows) (map[string][]platform.Key, error) {
+	own := map[string][]platform.Key{}
+	indexKnown := rows.indexKnown()
 	for id, t := range rows.turns {
-		key := platform.Key{Table: indexTable, Key: id}
-		if rows.marksCopies() && t.err == nil {
+		if indexKnown && t.err == nil {
 			if !t.turn.Copied {
-				entries[id] = key
+				own[id] = []platform.Key{indexKey(id)}
 			}
 			continue
 		}
 		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		entry, err := l.readIndex(readCtx, g.Partition(), id)
+		entries, err := l.readIndex(readCtx, g.Partition(), id)
 		cancel()
 		if err != nil {
 			return nil, err
 		}
-		if entry == g {
-			entries[id] = key
+		for _, e := range entries {
+			if turntree.Group(e.Value) == g {
+				own[id] = append(own[id], e.Key)
+			}
 		}
 		clock.Sleep(ctx, indexReadInterval)
 	}
-	return entries, nil
+	return own, nil
 }
 
 // deletions returns the writes that delete a group with the index entries of its own turns, in
 // transactions of limited size. Each turn is deleted before its parent and the account last, so
 // that whatever remains after a failure has its whole chain.
-func deletions(rows groupRows, index map[string]platform.Key) [][]platform.Write {
+func deletions(rows groupRows, index map[string][]platform.Key) [][]platform.Write {
 	var out [][]platform.Write
 	var next []platform.Write
 	add := func(writes []platform.Write) {
@@ -112,7 +114,7 @@
 	}
 	for _, id := range rows.childrenFirst() {
 		var writes []platform.Write
-		if key, ok := index[id]; ok {
+		for _, key := range index[id] {
 			writes = append(writes, platform.Write{Key: key, Delete: true})
 		}
 		add(append(writes, deleteRows(rows.turns[id].rows)...))
--- a/internal/process/ledger/expiry_test.go
+++ b/internal/process/ledger/expiry_test.go
@@ -193,3 +193,29 @@
 		})
 	}
 }
+
+// TestTurnOutlivesRemovalsByTheEarlierBuild guards against a turn that is not found because a
+// VM of build 7f97bc3 has deleted its index entry with an expired copy, and against second
+// index entries that no removal deletes.
+func TestTurnOutlivesRemovalsByTheEarlierBuild(t *testing.T) {
+	f := newTestFleet(t)
+	l, earlier := f.newVM(), f.newEarlierVM()
+	l.options.EarlierBuilds = func() bool { return true }
+	programs := programsIn(0, 2)
+	require.NoError(t, f.runTurn(l, programs[0], "", "1", longRetention))
+	require.NoError(t, f.runTurn(earlier, programs[1], "1", "v", shortRetention))
+	f.pass(shortRetention + accountIdleTimeout + time.Second)
+	earlier.expire(t.Context())
+	require.Len(t, f.store.Rows(indexTable), 1, "the earlier build deletes the entries of copied turns")
+
+	f.requireKept(programs[0], "1", 4)
+	require.NoError(t, f.runTurn(f.newVM(), "new", "1", "2", longRetention))
+	require.NoError(t, f.runTurn(earlier, programs[0], "1", "3", longRetention), "the program cannot go on at the earlier build")
+	require.NoError(t, f.runTurn(l, programs[0], "3", "4", longRetention))
+
+	f.pass(longRetention + accountIdleTimeout + time.Second)
+	l.expire(t.Context())
+	require.Len(t, f.store.Rows(indexTable), 1, "of the program that another VM keeps")
+	_, err := f.newVM().History(t.Context(), turntree.GroupOf("parish", programs[0]), "parish", "4")
+	require.ErrorIs(t, err, ErrTurnNotFound)
+}
--- a/internal/process/ledger/group.go
+++ b/internal/process/ledger/group.go
@@ -45,10 +45,10 @@
 	return parsed
 }
 
-// marksCopies reports whether the turns of the group tell whether they are copies.
-func (g groupRows) marksCopies() bool {
+// indexKnown reports whether the index entries of the group follow from its turns.
+func (g groupRows) indexKnown() bool {
 	for _, r := range g.account {
-		if a, err := turntree.DecodeAccount(r.Value); err == nil && a.MarksCopies {
+		if a, err := turntree.DecodeAccount(r.Value); err == nil && a.IndexKnown {
 			return true
 		}
 	}
--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -132,30 +132,28 @@
 	if t, ok := l.cachedTurn(id); ok {
 		return t, nil
 	}
-	found, err := l.findGroup(ctx, id)
+	groups, err := l.findGroups(ctx, id)
 	if err != nil {
 		return StoredTurn{}, err
 	}
-	if found == "" {
-		l.options.Log.Request("Turn has no index entry", "id", id, "searchedGroup", g)
-		return StoredTurn{}, ErrTurnNotFound
-	}
-	if err := l.loadGroup(ctx, found); err != nil {
-		return StoredTurn{}, err
-	}
-	if t, ok := l.cachedTurn(id); ok {
-		return t, nil
+	for _, group := range groups {
+		if err := l.loadGroup(ctx, group); err != nil {
+			return StoredTurn{}, err
+		}
+		if t, ok := l.cachedTurn(id); ok {
+			return t, nil
+		}
 	}
-	l.options.Log.Request("Indexed group has no rows of the turn", "id", id, "group", found)
+	l.options.Log.Request("Turn not found", "id", id, "searchedGroup", g, "indexedGroups", groups)
 	return StoredTurn{}, ErrTurnNotFound
 }
 
-// findGroup returns the group of a turn, or "" if the index certainly has no such turn.
-// A program may continue a turn of another program, whose partition is unknown, so all
-// partitions are searched.
-func (l *Ledger) findGroup(ctx context.Context, id string) (turntree.Group, error) {
+// findGroups returns the groups that the index names for a turn, usually one; none if the
+// index certainly has no such turn. A program may continue a turn of another program, whose
+// partition is unknown, so all partitions are searched.
+func (l *Ledger) findGroups(ctx context.Context, id string) ([]turntree.Group, error) {
 	partitions := turntree.Partitions()
-	found := make([]turntree.Group, len(partitions))
+	found := make([][]platform.Row, len(partitions))
 	errs := make([]error, len(partitions))
 	var wait sync.WaitGroup
 	for i, partition := range partitions {
@@ -164,22 +162,24 @@
 		})
 	}
 	wait.Wait()
-	for _, g := range found {
-		if g != "" {
-			return g, nil
+	var groups []turntree.Group
+	for _, e := range slices.Concat(found...) {
+		if g := turntree.Group(e.Value); !slices.Contains(groups, g) {
+			groups = append(groups, g)
 		}
 	}
-	return "", errors.Join(errs...)
+	if len(groups) > 0 {
+		return groups, nil
+	}
+	return nil, errors.Join(errs...)
 }
 
-// readIndex returns the group that a partition's index names for a turn, or "".
-func (l *Ledger) readIndex(ctx context.Context, partition, id string) (turntree.Group, error) {
+// readIndex returns the entries of a turn in the index of a partition. Their values are groups.
+func (l *Ledger) readIndex(ctx context.Context, partition, id string) ([]platform.Row, error) {
 	l.count(func(c *Counters) { c.Reads++ })
-	page, err := l.store.Range(ctx, platform.RangeQuery{Table: indexTable, Part: partition, From: id, To: id + "\x00"})
-	if err != nil || len(page.Rows) == 0 {
-		return "", err
-	}
-	return turntree.Group(page.Rows[0].Value), nil
+	second := id + secondEntrySuffix
+	page, err := l.store.Range(ctx, platform.RangeQuery{Table: indexTable, Part: partition, From: id, To: second + "\x00"})
+	return slices.DeleteFunc(page.Rows, func(r platform.Row) bool { return r.Key.Key != id && r.Key.Key != second }), err
 }
 
 // readGroup reads all rows of a group.
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -109,6 +109,10 @@
 	// LongestRetention returns the longest retention of the routes in force. Programs of
 	// which the store does not tell the retention are kept for it. nil means 0.
 	LongestRetention func() time.Duration
+	// EarlierBuilds returns whether a VM of the fleet runs a build up to 7f97bc3. When such a
+	// VM deletes an expired program it also deletes index entries of turns that the program had
+	// copied. nil means no.
+	EarlierBuilds func() bool
 	// Log takes the lines about decisions; nil discards them.
 	Log *decisionlog.Log
 }
@@ -118,6 +122,9 @@
 	if o.LongestRetention == nil {
 		o.LongestRetention = func() time.Duration { return 0 }
 	}
+	if o.EarlierBuilds == nil {
+		o.EarlierBuilds = func() bool { return false }
+	}
 	if o.Log == nil {
 		o.Log = decisionlog.New(nil)
 	}
@@ -225,12 +232,13 @@
 // must not end before Record has returned without an error. It fails with ErrTurnNotFound
 // if the store no longer has the turn that this one continues.
 func (l *Ledger) Record(ctx context.Context, r RecordRequest) error {
-	rows, err := turnWrites(r)
+	earlierBuilds := l.options.EarlierBuilds()
+	rows, err := turnWrites(r, earlierBuilds)
 	if err != nil {
 		return &Error{Op: "record", Turn: r.ID, Err: err}
 	}
 	c := &change{
-		op: "record", turn: r.ID, retention: r.Retention, rows: rows, parent: l.parentToKeep(r),
+		op: "record", turn: r.ID, retention: r.Retention, rows: rows, moreIndexEntries: earlierBuilds, parent: l.parentToKeep(r),
 		apply: func(a *turntree.Account) error {
 			a.Settle(r.ID, r.Used)
 			return nil
@@ -264,13 +272,17 @@
 
 // turnWrites returns the writes that store an ended turn: its rows, its index entry and
 // copies of those turns of its history that belong to other groups, so that each group
-// can expire independently.
-func turnWrites(r RecordRequest) ([]platform.Write, error) {
+// can expire independently. With secondEntry, the turn gets an index entry that only the
+// removal of its own group deletes.
+func turnWrites(r RecordRequest, secondEntry bool) ([]platform.Write, error) {
 	writes, err := splitRows(turnKey(r.Group, r.ID), r.Turn)
 	if err != nil {
 		return nil, err
 	}
-	writes = append(writes, platform.Write{Key: platform.Key{Table: indexTable, Key: r.ID}, Value: []byte(r.Group)})
+	writes = append(writes, platform.Write{Key: indexKey(r.ID), Value: []byte(r.Group)})
+	if secondEntry {
+		writes = append(writes, platform.Write{Key: indexKey(r.ID + secondEntrySuffix), Value: []byte(r.Group)})
+	}
 	for _, t := range r.History.fromOtherGroups(r.Group).Turns {
 		t.Turn.Copied = true
 		copied, err := splitRows(turnKey(r.Group, t.ID), t.Turn)
@@ -282,6 +294,12 @@
 	return writes, nil
 }
 
+// secondEntrySuffix ends the key of a turn's second index entry, which is written while a VM
+// runs a build up to 7f97bc3.
+const secondEntrySuffix = "#"
+
+func indexKey(key string) platform.Key { return platform.Key{Table: indexTable, Key: key} }
+
 func turnKey(g turntree.Group, id string) string { return string(g) + "/" + id }
 
 // Run deletes expired data until ctx ends.
--- a/internal/process/ledger/parent.go
+++ b/internal/process/ledger/parent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
@@ -82,6 +83,24 @@
 	if isCached {
 		groups = append(groups, cached.Group)
 	}
+	parent, err := l.readParentIn(ctx, g, groups, id)
+	if !errors.Is(err, ErrTurnNotFound) {
+		return parent, err
+	}
+	indexed, err := l.findGroups(ctx, id)
+	if err != nil {
+		return parentTurn{}, err
+	}
+	parent, err = l.readParentIn(ctx, g, indexed, id)
+	if errors.Is(err, ErrTurnNotFound) {
+		l.dropTurn(id)
+	}
+	return parent, err
+}
+
+// readParentIn returns the parent of a new turn of the group g as findParent does, if one of
+// the given groups has it.
+func (l *Ledger) readParentIn(ctx context.Context, g turntree.Group, groups []turntree.Group, id string) (parentTurn, error) {
 	for _, group := range groups {
 		parent := parentTurn{id: id}
 		switch err := l.readParent(ctx, group, &parent); {
@@ -94,12 +113,7 @@
 			return parentTurn{}, nil
 		}
 	}
-	found, err := l.findGroup(ctx, id)
-	if err == nil && found == "" {
-		l.dropTurn(id)
-		err = ErrTurnNotFound
-	}
-	return parentTurn{}, err
+	return parentTurn{}, ErrTurnNotFound
 }
 
 // parentToKeep returns the parent that must be stored when a turn is recorded. It is empty
--- a/internal/process/turntree/account_test.go
+++ b/internal/process/turntree/account_test.go
@@ -59,10 +59,10 @@
 	require.Error(t, err)
 }
 
-// TestMarkOfCopiesBesideTheBuildBefore guards against a build up to 7f97bc3 that misreads an
-// account with the mark of copies, or that keeps the mark although it adds copies without it.
-func TestMarkOfCopiesBesideTheBuildBefore(t *testing.T) {
-	a := Account{Spent: 7, Retention: time.Minute, MarksCopies: true, Reserved: map[string]int64{"1": 20}}
+// TestIndexMarkBesideTheBuildBefore guards against a build up to 7f97bc3 that misreads an
+// account with IndexKnown, or that keeps it although it adds copies without the mark.
+func TestIndexMarkBesideTheBuildBefore(t *testing.T) {
+	a := Account{Spent: 7, Retention: time.Minute, IndexKnown: true, Reserved: map[string]int64{"1": 20}}
 	data, err := EncodeAccount(a)
 	require.NoError(t, err)
 	got, err := DecodeAccount(data)
@@ -81,7 +81,7 @@
 	require.NoError(t, err)
 	got, err = DecodeAccount(data)
 	require.NoError(t, err)
-	a.MarksCopies = false
+	a.IndexKnown = false
 	require.Equal(t, a, got)
 
 	// The build before reads a marked copy as any other turn.
--- a/internal/process/turntree/turntree.go
+++ b/internal/process/turntree/turntree.go
@@ -88,10 +88,10 @@
 	// Retention is how long the program's rows are kept after each change: the longest time
 	// that any change has stated; 0 if none has.
 	Retention time.Duration
-	// MarksCopies is set if Turn.Copied tells which turns of the group are copies. It is lost
-	// when a build up to 7f97bc3, which may add copies without the mark, changes the account,
-	// and is stored only together with a Retention.
-	MarksCopies bool
+	// IndexKnown is set if the index entries of the group follow from its turns: one for each
+	// turn that is not Copied. It is lost when a build up to 7f97bc3, which may add copies
+	// without the mark, changes the account, and is stored only together with a Retention.
+	IndexKnown bool
 }
 
 // storedAccount is the encoding of an Account.
@@ -99,7 +99,7 @@
 	Spent int64 `msgpack:"s"`
 	// Reserved also has an entry whose key contains the retention. Builds up to 19775ae drop
 	// fields that they don't know when they write an account, but keep all reservations. The
-	// entry's value is marksCopies or 0. Builds up to 7f97bc3 ignore it and write 0.
+	// entry's value is indexKnown or 0. Builds up to 7f97bc3 ignore it and write 0.
 	Reserved map[string]int64 `msgpack:"r,omitempty"`
 }
 
@@ -107,8 +107,8 @@
 // id of a turn begins with NUL.
 const retentionKey = "\x00retention-ms="
 
-// marksCopies is the value of that entry in an account with MarksCopies.
-const marksCopies = 1
+// indexKnown is the value of that entry in an account with IndexKnown.
+const indexKnown = 1
 
 // Reserve reserves maxTokens for a turn. It returns false if they do not fit into the
 // budget. A budget of 0 means no limit. A repeated reservation of the same turn changes
@@ -183,8 +183,8 @@
 	if a.Retention > 0 {
 		key := retentionKey + strconv.FormatInt(a.Retention.Milliseconds(), 10)
 		stored.Reserved = map[string]int64{key: 0}
-		if a.MarksCopies {
-			stored.Reserved[key] = marksCopies
+		if a.IndexKnown {
+			stored.Reserved[key] = indexKnown
 		}
 		maps.Copy(stored.Reserved, a.Reserved)
 	}
@@ -211,7 +211,7 @@
 			return Account{}, &Error{Record: "account", Err: err}
 		}
 		a.Retention = max(a.Retention, time.Duration(ms)*time.Millisecond)
-		a.MarksCopies = value == marksCopies
+		a.IndexKnown = value == indexKnown
 		delete(a.Reserved, key)
 	}
 	return a, nil
