ledger: Find a turn of a program that is larger than the cache

Seen by callers: a turn within its retention gets 404 if its program has more bytes of turns than the VM's cache holds.

Cause: find read the whole program into the cache and then looked the turn up there. The other turns of the program may have evicted it by then, and a cache miss was taken for "no such turn".

Change: a read of a history keeps what it has read from the store until it ends, and reads each program once.

Result: TestTurnOfAProgramLargerThanTheCache fails on the commit before ("no such turn") and passes now.

--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -85,8 +85,9 @@
 // History returns the customer's history that ends with the turn parent. g is the group
 // of the program that continues it.
 func (l *Ledger) History(ctx context.Context, g turntree.Group, customer, parent string) (History, error) {
+	reader := historyReader{Ledger: l, turns: map[string]StoredTurn{}, groups: map[turntree.Group]bool{}}
 	history, err := collectHistory(g, customer, parent, func(g turntree.Group, id string) (StoredTurn, error) {
-		return l.find(ctx, g, id)
+		return reader.find(ctx, g, id)
 	})
 	if err != nil {
 		return History{}, &Error{Op: "read", Turn: parent, Err: err}
@@ -120,34 +121,55 @@
 	return l.turns.get(id)
 }
 
+// historyReader reads one history. It keeps what it has read from the store, which may be
+// more than the cache holds.
+type historyReader struct {
+	*Ledger
+	turns  map[string]StoredTurn   // by id
+	groups map[turntree.Group]bool // that were read
+}
+
 // find returns a turn from the cache, from its probable group in the store, or by means
 // of the index.
-func (l *Ledger) find(ctx context.Context, g turntree.Group, id string) (StoredTurn, error) {
-	if t, ok := l.cachedTurn(id); ok {
+func (r *historyReader) find(ctx context.Context, g turntree.Group, id string) (StoredTurn, error) {
+	if t, ok := r.turns[id]; ok {
 		return t, nil
 	}
-	if err := l.loadGroup(ctx, g); err != nil {
-		return StoredTurn{}, err
-	}
-	if t, ok := l.cachedTurn(id); ok {
+	if t, ok := r.cachedTurn(id); ok {
 		return t, nil
 	}
-	groups, err := l.findGroups(ctx, id)
+	if t, ok, err := r.readTurn(ctx, g, id); ok || err != nil {
+		return t, err
+	}
+	groups, err := r.findGroups(ctx, id)
 	if err != nil {
 		return StoredTurn{}, err
 	}
 	for _, group := range groups {
-		if err := l.loadGroup(ctx, group); err != nil {
-			return StoredTurn{}, err
-		}
-		if t, ok := l.cachedTurn(id); ok {
-			return t, nil
+		if t, ok, err := r.readTurn(ctx, group, id); ok || err != nil {
+			return t, err
 		}
 	}
-	l.options.Log.Request("Turn not found", "id", id, "searchedGroup", g, "indexedGroups", groups)
+	r.options.Log.Request("Turn not found", "id", id, "searchedGroup", g, "indexedGroups", groups)
 	return StoredTurn{}, ErrTurnNotFound
 }
 
+// readTurn returns a turn from the rows of a group, which it reads unless that was done.
+func (r *historyReader) readTurn(ctx context.Context, g turntree.Group, id string) (StoredTurn, bool, error) {
+	if !r.groups[g] {
+		turns, err := r.loadGroup(ctx, g)
+		if err != nil {
+			return StoredTurn{}, false, err
+		}
+		r.groups[g] = true
+		for _, t := range turns {
+			r.turns[t.ID] = t
+		}
+	}
+	t, ok := r.turns[id]
+	return t, ok, nil
+}
+
 // findGroups returns the groups that the index names for a turn, usually one; none if the
 // index certainly has no such turn. A program may continue a turn of another program, whose
 // partition is unknown, so all partitions are searched.
@@ -188,25 +210,27 @@
 	return l.store.Range(ctx, platform.RangeQuery{Table: programTable, Part: g.Partition(), From: string(g), To: string(g) + "0"})
 }
 
-// loadGroup reads a group's turns into the cache, and its account if this VM has no
-// copy of it.
-func (l *Ledger) loadGroup(ctx context.Context, g turntree.Group) error {
+// loadGroup returns a group's turns. It adds them to the cache, and the group's account if
+// this VM has no copy of it.
+func (l *Ledger) loadGroup(ctx context.Context, g turntree.Group) ([]StoredTurn, error) {
 	page, err := l.readGroup(ctx, g)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	var turns []StoredTurn
 	for id, t := range parseGroup(g, page.Rows).turns {
 		if t.err != nil {
-			return fmt.Errorf("turn %s: %w", id, t.err)
+			return nil, fmt.Errorf("turn %s: %w", id, t.err)
 		}
-		l.turns.add(StoredTurn{ID: id, Group: g, Turn: t.turn, revision: t.rows[0].Revision})
+		turns = append(turns, StoredTurn{ID: id, Group: g, Turn: t.turn, revision: t.rows[0].Revision})
 	}
+	l.cacheTurns(turns...)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if a := l.account(g); !a.busy && !a.known {
-		return l.setFromRows(a, page.Rows)
+		return turns, l.setFromRows(a, page.Rows)
 	}
-	return nil
+	return turns, nil
 }
 
 // turnID returns the id of the turn that a group's row belongs to; false for the row of
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -115,6 +115,25 @@
 	require.Equal(t, text+"?"+text+"!\n", string(history.Prompt(nil)))
 }
 
+// TestTurnOfAProgramLargerThanTheCache guards against a stored turn that gets 404 because the
+// other turns of its program have filled the cache while they were read.
+func TestTurnOfAProgramLargerThanTheCache(t *testing.T) {
+	store := platformtest.NewStore(t)
+	a := vm(t, store)
+	runTurn(t, a, "p", "", "root", "root")
+	for i := range 20 {
+		runTurn(t, a, "p", "root", fmt.Sprint("t", i), strings.Repeat("x", 1000))
+	}
+	small := options
+	small.CacheBytes = 4000
+	l := ledger.New(t.Context(), connection.NewStoreClient(store.Address(), 0), small)
+	for i := range 20 {
+		history, err := l.History(t.Context(), group("q"), customer, fmt.Sprint("t", i))
+		require.NoError(t, err)
+		require.Equal(t, 2, history.Len())
+	}
+}
+
 // TestBudgetIsNeverExceeded guards against concurrent turns of a program that together
 // exceed its budget: they reserve at three VMs at once while answers are lost.
 func TestBudgetIsNeverExceeded(t *testing.T) {
