ledger: Record a turn in several transactions if it exceeds one

Cause: Record wrote a turn with the copies of its whole foreign history in one transaction. The store takes at most 100 entries and 1 MB in a call and refused it each time.

Change: a record is split into transactions within these limits: copies in the order of the line, of a turn the first row last, the turn itself with its index entries and settlement in the last one. A turn counts as stored once its first row is. Each transaction has the condition that the row before it is there, so that what a kill, a conflict or a removal leaves has its whole chain. Only turns after the last one that the program has are copied; Open tells whether it has the parent, whatever program the cache knows it from. Records of several transactions are made by the VM that took the request. Removals delete a turn's rows in the reverse order. platformtest.Store has the limits of the store and its pages.

--- a/internal/process/ledger/expire.go
+++ b/internal/process/ledger/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
@@ -78,6 +79,9 @@
 	own := map[string][]platform.Key{}
 	indexKnown := rows.indexKnown()
 	for id, t := range rows.turns {
+		if !t.stored {
+			continue // its index entry would have been stored with its first row
+		}
 		if indexKnown && t.err == nil {
 			if !t.turn.Copied {
 				own[id] = []platform.Key{indexKey(id)}
@@ -117,7 +121,20 @@
 		for _, key := range index[id] {
 			writes = append(writes, platform.Write{Key: key, Delete: true})
 		}
-		add(append(writes, deleteRows(rows.turns[id].rows)...))
+		// The rows are deleted in the reverse order of a record: the first one, without which
+		// the turn counts as not stored, and then the others from the last.
+		turn := rows.turns[id]
+		if turn.stored {
+			writes = append(writes, platform.Write{Key: turn.rows[0].Key, Delete: true})
+			turn.rows = turn.rows[1:]
+		}
+		slices.Reverse(turn.rows)
+		writes = append(writes, deleteRows(turn.rows)...)
+		for len(writes) > maxWrites {
+			add(writes[:maxWrites])
+			writes = writes[maxWrites:]
+		}
+		add(writes)
 	}
 	add(deleteRows(rows.account))
 	return append(out, next)
--- a/internal/process/ledger/group.go
+++ b/internal/process/ledger/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
@@ -19,6 +20,8 @@
 	rows []platform.Row
 	turn turntree.Turn
 	err  error // of decoding the rows
+	// stored is set if the turn's first row is there. A record that did not end leaves others.
+	stored bool
 }
 
 // parseGroup sorts the rows of a group by turn and decodes the turns.
@@ -40,6 +43,7 @@
 			data = append(data, r.Value...)
 		}
 		t.turn, t.err = turntree.DecodeTurn(data)
+		t.stored = t.rows[0].Key.Key == turnKey(g, id)
 		parsed.turns[id] = t
 	}
 	return parsed
@@ -56,7 +60,8 @@
 }
 
 // childrenFirst returns the ids of the turns in an order in which each turn precedes its
-// parent. A turn that cannot be decoded counts as the first of its history.
+// parent. Turns that are not stored come first, since they follow all others. A stored turn
+// that cannot be decoded counts as the first of its history.
 func (g groupRows) childrenFirst() []string {
 	var ids []string
 	depths := map[string]int{}
@@ -70,6 +75,11 @@
 			depths[at] = depths[g.turns[at].turn.Parent] + 1
 		}
 	}
+	for id, t := range g.turns {
+		if !t.stored {
+			depths[id] = math.MaxInt
+		}
+	}
 	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(depths[b], depths[a]) })
 	return ids
 }
--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -18,9 +17,9 @@
 	// row that the platform's store accepts, so that a value still fits after its
 	// encoding.
 	rowBytes = 32 << 10
-	// maxWrites is the maximum number of writes in one transaction: the store's limit
-	// of entries less the condition.
-	maxWrites = 99
+	// maxWrites is the maximum number of writes in one transaction of a removal: the store's
+	// limit of entries less the condition.
+	maxWrites = platform.MaxTxEntries - 1
 	// chunkSeparator separates a turn's id from the number of a continuation row.
 	chunkSeparator = "#"
 )
@@ -29,6 +28,9 @@
 // conversation to the turn's parent, oldest first.
 type History struct {
 	Turns []StoredTurn `msgpack:"t,omitempty"`
+	// InGroup is set if the group of the new turn has all these turns, whatever group they
+	// were read from.
+	InGroup bool `msgpack:"s,omitempty"`
 }
 
 func (h History) Len() int { return len(h.Turns) }
@@ -58,15 +60,25 @@
 	return append(prompt, input...)
 }
 
-// fromOtherGroups returns the turns that belong to groups other than g.
-func (h History) fromOtherGroups(g turntree.Group) History {
-	var out History
-	for _, t := range h.Turns {
-		if t.Group != g {
-			out.Turns = append(out.Turns, t)
-		}
+// missingIn returns the turns that the group g may lack if it is to have the turn parent: those
+// after the last one that it has, since a stored turn has its whole chain in its group. Callers
+// of builds up to 7f97bc3 leave out each turn that the group has.
+func (h History) missingIn(g turntree.Group, parent string) []StoredTurn {
+	if h.InGroup {
+		return nil
+	}
+	first := len(h.Turns)
+	for first > 0 && h.Turns[first-1].ID == parent && h.Turns[first-1].Group != g {
+		first--
+		parent = h.Turns[first].Turn.Parent
 	}
-	return out
+	return h.Turns[first:]
+}
+
+// extends reports whether the history goes back to its first turn and has turns before the
+// given last ones.
+func (h History) extends(last []StoredTurn) bool {
+	return len(last) > 0 && len(last) < len(h.Turns) && h.Turns[0].Turn.Parent == ""
 }
 
 // cachedHistory returns the customer's history that ends with the turn parent. It
@@ -219,6 +231,9 @@
 	}
 	var turns []StoredTurn
 	for id, t := range parseGroup(g, page.Rows).turns {
+		if !t.stored {
+			continue
+		}
 		if t.err != nil {
 			return nil, fmt.Errorf("turn %s: %w", id, t.err)
 		}
@@ -254,7 +269,7 @@
 			k = fmt.Sprintf("%s%s%04d", key, chunkSeparator, i)
 		}
 		n := min(len(data), rowBytes)
-		writes = append(writes, platform.Write{Key: platform.Key{Table: programTable, Key: k}, Value: bytes.Clone(data[:n])})
+		writes = append(writes, platform.Write{Key: platform.Key{Table: programTable, Key: k}, Value: data[:n:n]})
 		data = data[n:]
 	}
 	return writes, nil
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -91,6 +91,7 @@
 			history = opened
 			h.local.cacheTurns(history.Turns...)
 		}
+		history.InGroup = opened.InGroup
 		var storeErr *StoreError
 		if !errors.As(err, &storeErr) || storeErr.Reserved {
 			reserved = true // the home may have reserved the tokens although its answer was lost
@@ -101,6 +102,7 @@
 		if err == nil && !cached {
 			history = opened
 		}
+		history.InGroup = opened.InGroup
 		return err
 	})
 	if errors.Is(err, ErrTurnNotFound) {
@@ -115,14 +117,22 @@
 
 // Record runs Ledger.Record at the group's home.
 func (h *HomeRouter) Record(ctx context.Context, r RecordRequest) error {
-	r.History = r.History.fromOtherGroups(r.Group)
-	return h.runAtHome(ctx, r.Group, r.Allowed, r.ID, func(ctx context.Context, home Home) error {
+	if !r.fitsOneTransaction() {
+		return h.local.Record(ctx, r) // several transactions may take longer than ServeTimeout
+	}
+	whole := r
+	r.History = History{Turns: r.History.missingIn(r.Group, r.Turn.Parent)}
+	err := h.runAtHome(ctx, r.Group, r.Allowed, r.ID, func(ctx context.Context, home Home) error {
 		err := home.Record(ctx, r)
 		if err == nil {
 			h.local.cacheTurns(StoredTurn{ID: r.ID, Group: r.Group, Turn: r.Turn})
 		}
 		return err
 	}, func() error { return h.local.Record(ctx, r) })
+	if errors.Is(err, ErrTurnNotFound) && whole.History.extends(r.History.Turns) {
+		return h.local.Record(ctx, whole)
+	}
+	return err
 }
 
 // Settle runs Ledger.Settle at the group's home. It returns at once and retries in the
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -187,6 +187,7 @@
 	if errors.Is(err, ErrTurnNotFound) {
 		l.dropTurn(o.Parent)
 	}
+	history.InGroup = parent.id != ""
 	return history, err
 }
 
@@ -213,47 +214,6 @@
 	})
 }
 
-// RecordRequest is a turn whose answer is complete.
-type RecordRequest struct {
-	Group turntree.Group `msgpack:"g"`
-	ID    string         `msgpack:"i"`
-	Turn  turntree.Turn  `msgpack:"t"`
-	// Used is the number of tokens in the answer.
-	Used int64 `msgpack:"u"`
-	// History is the history that the turn continues, as returned by Open.
-	History History `msgpack:"l"`
-	// Retention is how long the turn is kept.
-	Retention time.Duration `msgpack:"r"`
-	// Allowed are the regions whose VMs may be the home for this change.
-	Allowed routing.AllowedRegions `msgpack:"-"`
-}
-
-// Record durably stores an ended turn and its settlement in one transaction. The answer
-// must not end before Record has returned without an error. It fails with ErrTurnNotFound
-// if the store no longer has the turn that this one continues.
-func (l *Ledger) Record(ctx context.Context, r RecordRequest) error {
-	earlierBuilds := l.options.EarlierBuilds()
-	rows, err := turnWrites(r, earlierBuilds)
-	if err != nil {
-		return &Error{Op: "record", Turn: r.ID, Err: err}
-	}
-	c := &change{
-		op: "record", turn: r.ID, retention: r.Retention, rows: rows, moreIndexEntries: earlierBuilds, parent: l.parentToKeep(r),
-		apply: func(a *turntree.Account) error {
-			a.Settle(r.ID, r.Used)
-			return nil
-		},
-	}
-	err = l.change(ctx, r.Group, false, c)
-	switch {
-	case err == nil:
-		l.cacheTurns(StoredTurn{ID: r.ID, Group: r.Group, Turn: r.Turn, revision: c.revision})
-	case errors.Is(err, ErrTurnNotFound):
-		l.dropTurn(r.Turn.Parent)
-	}
-	return err
-}
-
 // dropTurn removes a turn from the cache that the store no longer has.
 func (l *Ledger) dropTurn(id string) {
 	l.mu.Lock()
@@ -270,30 +230,6 @@
 	}
 }
 
-// turnWrites returns the writes that store an ended turn: its rows, its index entry and
-// copies of those turns of its history that belong to other groups, so that each group
-// can expire independently. With secondEntry, the turn gets an index entry that only the
-// removal of its own group deletes.
-func turnWrites(r RecordRequest, secondEntry bool) ([]platform.Write, error) {
-	writes, err := splitRows(turnKey(r.Group, r.ID), r.Turn)
-	if err != nil {
-		return nil, err
-	}
-	writes = append(writes, platform.Write{Key: indexKey(r.ID), Value: []byte(r.Group)})
-	if secondEntry {
-		writes = append(writes, platform.Write{Key: indexKey(r.ID + secondEntrySuffix), Value: []byte(r.Group)})
-	}
-	for _, t := range r.History.fromOtherGroups(r.Group).Turns {
-		t.Turn.Copied = true
-		copied, err := splitRows(turnKey(r.Group, t.ID), t.Turn)
-		if err != nil {
-			return nil, err
-		}
-		writes = append(writes, copied...)
-	}
-	return writes, nil
-}
-
 // secondEntrySuffix ends the key of a turn's second index entry, which is written while a VM
 // runs a build up to 7f97bc3.
 const secondEntrySuffix = "#"
--- /dev/null
+++ b/internal/process/ledger/line_test.go
@@ -0,0 +1,326 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
+	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/internal/version/routing"
+)
+
+// line is a conversation that goes on through several programs.
+type line struct {
+	*testFleet
+	turns   []string // ids, oldest first
+	prompts [][]byte // what a replica reads after each turn
+	size    int      // bytes of a turn's input
+}
+
+// add runs one more turn of the line, in a program at a VM.
+func (n *line) add(l *Ledger, program string) {
+	n.t.Helper()
+	n.record(l, program, l.Open, l.Record)
+}
+
+// record runs one more turn with the given functions of a ledger or of a router.
+func (n *line) record(l *Ledger, program string, open func(context.Context, OpenRequest) (History, error), record func(context.Context, RecordRequest) error) {
+	n.t.Helper()
+	ctx, cancel := context.WithTimeout(n.t.Context(), 20*time.Second)
+	defer cancel()
+	o, r := n.next(program)
+	var err error
+	r.History, err = open(ctx, o)
+	require.NoError(n.t, err, "turn %d cannot go on", len(n.turns))
+	before := n.prompt()
+	require.True(n.t, bytes.Equal(before, r.History.Prompt(nil)), "turn %d has another history", len(n.turns))
+	require.NoError(n.t, record(ctx, r), "turn %d is not recorded", len(n.turns))
+	n.turns = append(n.turns, r.ID)
+	n.prompts = append(n.prompts, append(append(bytes.Clone(before), r.Turn.Input...), r.Turn.Output...))
+}
+
+// next returns the requests of the next turn.
+func (n *line) next(program string) (OpenRequest, RecordRequest) {
+	parent := ""
+	if len(n.turns) > 0 {
+		parent = n.turns[len(n.turns)-1]
+	}
+	open, record := turnOf(program, parent, fmt.Sprintf("%s-%04d", program, len(n.turns)), longRetention)
+	open.Budget = 0
+	record.Turn.Input = bytes.Repeat([]byte{'a' + byte(len(n.turns)%26)}, n.size)
+	return open, record
+}
+
+func (n *line) prompt() []byte {
+	if len(n.prompts) == 0 {
+		return nil
+	}
+	return n.prompts[len(n.prompts)-1]
+}
+
+// cutTo drops the line's last turns, so that it goes on from an earlier one.
+func (n *line) cutTo(turns int) { n.turns, n.prompts = n.turns[:turns], n.prompts[:turns] }
+
+// TestLineOfAnyLengthGoesOn guards against a line that cannot be continued by another program,
+// since the copies of its turns, or a turn itself, exceed one transaction of the store: the
+// turn ran, and its answer was cut off at the time limit.
+func TestLineOfAnyLengthGoesOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		turns, size int
+		handOvers   int
+		middle      bool // hand over from the middle of the line
+		restart     bool // all processes are killed before each hand-over
+		expire      bool // the program before ends before the next hand-over
+	}{
+		"short":                            {turns: 3, size: 300, handOvers: 3, restart: true, expire: true},
+		"just within one transaction":      {turns: 95, size: 300, handOvers: 1},
+		"just beyond one transaction":      {turns: 97, size: 300, handOvers: 1},
+		"430 turns, from its end":          {turns: 430, size: 300, handOvers: 2, restart: true},
+		"250 turns, from the middle":       {turns: 250, size: 300, handOvers: 3, middle: true, restart: true},
+		"120 turns, programs expire":       {turns: 120, size: 300, handOvers: 3, restart: true, expire: true},
+		"turns of many rows":               {turns: 6, size: 150_000, handOvers: 2, restart: true, expire: true},
+		"turns beyond one transaction":     {turns: 2, size: 1 << 20, handOvers: 2, restart: true, expire: true},
+		"largest body and many hand-overs": {turns: 1, size: 4 << 20, handOvers: 2, restart: true, expire: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			n := &line{testFleet: f, size: c.size}
+			l := f.newVM()
+			for range c.turns {
+				n.add(l, "p0")
+			}
+			n.size = 300
+			for i := range c.handOvers {
+				if c.middle {
+					n.cutTo(len(n.turns) * 3 / 4)
+				}
+				before := l
+				if c.restart {
+					l = f.newVM()
+				}
+				n.add(l, fmt.Sprint("p", i+1))
+				if c.expire {
+					f.pass(longRetention/2 + time.Minute)
+					n.add(l, fmt.Sprint("p", i+1))
+					f.pass(longRetention/2 + time.Minute)
+					before.expire(t.Context())
+					_, err := f.newVM().History(t.Context(), "", "parish", n.turns[0])
+					require.ErrorIs(t, err, ErrTurnNotFound, "the first program has not expired")
+				}
+			}
+			history, err := f.newVM().History(t.Context(), turntree.GroupOf("parish", "q"), "parish", n.turns[len(n.turns)-1])
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(n.prompt(), history.Prompt(nil)))
+			require.Zero(t, f.store.Refused(), "calls exceed the store's limits")
+		})
+	}
+}
+
+// cutStore fails all transactions after some have been made. The last one may lose its answer.
+type cutStore struct {
+	platform.PartitionedStore
+	left       atomic.Int64 // transactions to make
+	cut        atomic.Bool  // left is final
+	loseAnswer bool
+	between    func() // is called before each transaction
+}
+
+func (s *cutStore) Transact(ctx context.Context, tx platform.PartitionTx) (platform.PartitionTxResult, error) {
+	if s.between != nil {
+		s.between()
+	}
+	left := s.left.Add(-1)
+	if left < 0 {
+		return platform.PartitionTxResult{}, &platform.Error{Kind: platform.NotApplied, Op: "transact", Err: errors.New("cut")}
+	}
+	result, err := s.PartitionedStore.Transact(ctx, tx)
+	if left == 0 && s.loseAnswer && s.cut.Load() {
+		return platform.PartitionTxResult{}, &platform.Error{Kind: platform.OutcomeUnknown, Op: "transact", Err: errors.New("lost")}
+	}
+	return result, err
+}
+
+// requireWholeChains requires that each turn that a group has can be read with its history, by a
+// new VM, and that the group lacks the turn with the given id.
+func (f *testFleet) requireWholeChains(g turntree.Group, missing string) {
+	f.t.Helper()
+	reader := f.newVM()
+	page, err := reader.readGroup(f.t.Context(), g)
+	require.NoError(f.t, err)
+	rows := parseGroup(g, page.Rows)
+	for id, t := range rows.turns {
+		require.True(f.t, !t.stored || id != missing, "the turn counts as stored")
+		for at := id; t.stored && at != ""; at = rows.turns[at].turn.Parent {
+			require.True(f.t, rows.turns[at].stored, "turn %s has no ancestor %s", id, at)
+			require.NoError(f.t, rows.turns[at].err)
+		}
+	}
+	_, err = reader.History(f.t.Context(), g, "parish", missing)
+	require.ErrorIs(f.t, err, ErrTurnNotFound)
+}
+
+// TestInterruptedRecordLeavesWholeChains guards against a hand-over that a kill or the loss of
+// the store ends between two of its transactions and that leaves turns without their chain, a
+// turn that counts as stored, or a line that cannot go on afterwards.
+func TestInterruptedRecordLeavesWholeChains(t *testing.T) {
+	for name, c := range map[string]struct{ turns, size int }{
+		"many turns":  {turns: 300, size: 300},
+		"large turns": {turns: 2, size: 1 << 20},
+	} {
+		for _, loseAnswer := range []bool{false, true} {
+			for done := range 4 {
+				t.Run(fmt.Sprintf("%s, %d transactions, answer lost: %v", name, done, loseAnswer), func(t *testing.T) {
+					f := newTestFleet(t)
+					n := &line{testFleet: f, size: c.size}
+					l := f.newVM()
+					for range c.turns {
+						n.add(l, "p0")
+					}
+					n.size = 300
+					victim := f.newVM()
+					store := &cutStore{PartitionedStore: victim.store, loseAnswer: loseAnswer}
+					store.left.Store(1)
+					victim.store = store
+					open, record := n.next("p1")
+					var err error
+					record.History, err = victim.Open(t.Context(), open)
+					require.NoError(t, err)
+					store.left.Store(int64(done))
+					store.cut.Store(true)
+					ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+					defer cancel()
+					require.Error(t, victim.Record(ctx, record))
+					f.requireWholeChains(record.Group, record.ID)
+
+					// The same turn, and then the removal of both programs.
+					l = f.newVM()
+					n.add(l, "p1")
+					n.add(l, "p1")
+					f.pass(longRetention + accountIdleTimeout + time.Second)
+					l.expire(t.Context())
+					for _, r := range f.store.Rows(programTable) {
+						require.NotContains(t, r.Key, string(record.Group), "rows remain")
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestRecordInSeveralTransactionsMeetsOtherChanges guards against a hand-over that another VM's
+// change of the same program, or the removal of the program, makes fail or lose turns.
+func TestRecordInSeveralTransactionsMeetsOtherChanges(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprint("removed: ", removed), func(t *testing.T) {
+			f := newTestFleet(t)
+			n := &line{testFleet: f, size: 300}
+			l, other := f.newVM(), f.newVM()
+			for range 300 {
+				n.add(l, "p0")
+			}
+			store := &cutStore{PartitionedStore: l.store}
+			store.left.Store(1 << 30)
+			l.store = store
+			open, record := n.next("p1")
+			var err error
+			record.History, err = l.Open(t.Context(), open)
+			require.NoError(t, err)
+			calls := 0
+			store.between = func() {
+				if calls++; calls > 4 || calls == 1 {
+					return
+				}
+				if !removed {
+					require.NoError(t, f.runTurn(other, "p1", "", fmt.Sprint("other", calls), longRetention))
+				} else if calls == 3 {
+					require.NoError(t, other.loadAccount(record.Group))
+					other.remove(t.Context(), record.Group, other.accounts[record.Group].revision)
+				}
+			}
+			err = l.Record(t.Context(), record)
+			if removed {
+				require.ErrorIs(t, err, ErrTurnNotFound)
+				f.requireWholeChains(record.Group, record.ID)
+				store.between = nil
+				n.add(f.newVM(), "p1")
+				return
+			}
+			require.NoError(t, err)
+			history, err := f.newVM().History(t.Context(), record.Group, "parish", record.ID)
+			require.NoError(t, err)
+			require.Equal(t, 301, history.Len())
+		})
+	}
+}
+
+// loadAccount reads the account of a group.
+func (l *Ledger) loadAccount(g turntree.Group) error {
+	l.mu.Lock()
+	a := l.account(g)
+	l.mu.Unlock()
+	return l.read(a)
+}
+
+// TestLongHandOverIsMadeByTheEntryVM guards against a hand-over of several transactions at a
+// home, which has less time for it than the caller and gets the whole history in one message.
+func TestLongHandOverIsMadeByTheEntryVM(t *testing.T) {
+	f := newTestFleet(t)
+	home, entry := f.newVM(), f.newVM()
+	calls := countingHome{localHome: localHome{home}}
+	router := NewHomeRouter(entry, decisionlog.New(nil), func(turntree.Group, routing.AllowedRegions, func(string) bool) (Home, bool) {
+		return &calls, true
+	})
+	n := &line{testFleet: f, size: 300}
+	for range 120 {
+		n.record(entry, "p0", router.Open, router.Record)
+	}
+	require.Equal(t, 120, calls.records)
+	n.record(entry, "p1", router.Open, router.Record)
+	require.Equal(t, 120, calls.records)
+	n.record(entry, "p1", router.Open, router.Record)
+	require.Equal(t, 121, calls.records)
+}
+
+// countingHome counts the records that are made through it.
+type countingHome struct {
+	localHome
+	records int
+}
+
+func (c *countingHome) Record(ctx context.Context, r RecordRequest) error {
+	c.records++
+	return c.localHome.Record(ctx, r)
+}
+
+// TestShortLineCostsNoMoreThanBefore guards against calls and bytes for lines that fit into one
+// transaction. The bounds are the figures of build 7f97bc3.
+func TestShortLineCostsNoMoreThanBefore(t *testing.T) {
+	f := newTestFleet(t)
+	n := &line{testFleet: f, size: 300}
+	l := f.newVM()
+	cost := func(turns int, program string) (calls, received int) {
+		calls, received = f.store.Calls(), f.store.Received()
+		for range turns {
+			n.add(l, program)
+		}
+		return f.store.Calls() - calls, f.store.Received() - received
+	}
+	calls, received := cost(3, "p0")
+	require.LessOrEqual(t, calls, 6)
+	require.LessOrEqual(t, received, 3911)
+	calls, received = cost(3, "p1")
+	require.LessOrEqual(t, calls, 9)
+	require.LessOrEqual(t, received, 8716)
+	l = f.newVM()
+	calls, received = cost(3, "p2")
+	require.LessOrEqual(t, calls, 18)
+	require.LessOrEqual(t, received, 13554)
+}
--- a/internal/process/ledger/parent.go
+++ b/internal/process/ledger/parent.go
@@ -116,12 +116,14 @@
 	return parentTurn{}, ErrTurnNotFound
 }
 
-// parentToKeep returns the parent that must be stored when a turn is recorded. It is empty
-// if the record contains a copy of the parent.
-func (l *Ledger) parentToKeep(r RecordRequest) parentTurn {
+// precedingTurn returns the turn of the group that must be stored when a turn is recorded with
+// copies: the parent of the first copy, or that of the turn. It is empty if there is none.
+func (l *Ledger) precedingTurn(r RecordRequest, copies []StoredTurn) parentTurn {
 	id := r.Turn.Parent
-	copied := slices.ContainsFunc(r.History.fromOtherGroups(r.Group).Turns, func(t StoredTurn) bool { return t.ID == id })
-	if id == "" || copied {
+	if len(copies) > 0 {
+		id = copies[0].Turn.Parent
+	}
+	if id == "" {
 		return parentTurn{}
 	}
 	p := parentTurn{id: id}
--- a/internal/process/platform/partitioned.go
+++ b/internal/process/platform/partitioned.go
@@ -17,6 +17,14 @@
 // HadNoEffect reports whether the failed call certainly had no effect.
 func (k ErrorKind) HadNoEffect() bool { return k == NotApplied || k == Overloaded }
 
+// Limits of a PartitionedStore.
+const (
+	// MaxTxEntries is the largest number of conditions and writes of a transaction.
+	MaxTxEntries = 100
+	// MaxTxBytes is the largest size of a transaction after its encoding.
+	MaxTxBytes = 1_000_000
+)
+
 // RangeQuery selects the rows of one partition of a table with From <= key < To. An
 // empty To means no upper bound.
 type RangeQuery struct{ Table, Part, From, To string }
