ledger: Refuse at once what the store can never take

Seen by callers: a turn with an id of over 175 bytes runs at a replica and gets no whole answer; one whose id has a "#" is answered and not found later.

Cause: the client of the store reported status 400 as a call without effect. The ledger repeated it until the time limit, together with the changes that shared its transaction; the path to the store gave up the direct path and repeated the call at every VM, each of which gave up its own direct path as well. Ids were looked at nowhere, although they become keys, which have a limit, UTF-8 and a separator.

Change: such calls fail with the kind Rejected. They are not repeated and say nothing about the path; changes that share a rejected transaction are committed one by one, and the one at fault ends with the error. A turn whose id cannot be stored gets 400 before it is dispatched, a parent with such an id 404.

Result: on the commit before, TestRejectedCallIsNotRepeated (the call went to another VM) and TestRejectedChangeFailsAlone (20 s, the time limit) fail with the kind that the client gave then, TestTurnThatCannotBeStoredIsRefused with 200 in place of 400. All pass now.

--- a/cmd/hornbeamvaled/fleet_test.go
+++ b/cmd/hornbeamvaled/fleet_test.go
@@ -237,6 +237,21 @@
 	}
 }
 
+// TestTurnThatCannotBeStoredIsRefused guards against a turn that runs at a replica and is cut off
+// at its time limit, since the store refuses to record it for its id.
+func TestTurnThatCannotBeStoredIsRefused(t *testing.T) {
+	fleet := newTestFleet(t, 2)
+	for vm := range fleet.vms {
+		for _, id := range []string{strings.Repeat("x", 180), "a#0001", "a\xff"} {
+			got := fleet.turn(vm, "p", "", "one", "Hornbeamvale-Attempt-Id", id)
+			require.NoError(t, got.err)
+			require.Equal(t, 400, got.status, "%q", id)
+			require.Empty(t, fleet.runs(id))
+			require.Equal(t, 404, fleet.turn(vm, "p", id, "two").status)
+		}
+	}
+}
+
 // events returns the body of the three events that a model replica sends for a request.
 func events(id string) string {
 	var out strings.Builder
--- a/internal/process/ledger/account.go
+++ b/internal/process/ledger/account.go
@@ -41,6 +41,9 @@
 	rows  []platform.Write
 	// moreIndexEntries is set if rows have more than one index entry.
 	moreIndexEntries bool
+	// alone is set if the store has rejected a transaction of this and other changes, so that
+	// only the change at fault fails in the end.
+	alone bool
 	// parent is a turn of the group that must be stored when the change is committed.
 	parent parentTurn
 	ctx    context.Context
@@ -88,7 +91,7 @@
 		err = context.Cause(ctx)
 	}
 	if err != nil {
-		reserved := c.reserves && !errors.Is(err, ErrBudgetExceeded) && !errors.Is(err, ErrTurnNotFound)
+		reserved := c.reserves && !errors.Is(err, ErrBudgetExceeded) && !errors.Is(err, ErrTurnNotFound) && platform.KindOf(err) != platform.Rejected
 		return &Error{Op: c.op, Turn: c.turn, Reserved: reserved, Err: err}
 	}
 	return nil
--- a/internal/process/ledger/commit.go
+++ b/internal/process/ledger/commit.go
@@ -114,7 +114,7 @@
 // changes whose callers no longer wait. The caller must hold l.mu.
 func (l *Ledger) takeBatch() []accountUpdate {
 	var batch []accountUpdate
-	partition, entries, bytes, full := 0, 0, 0, false
+	partition, entries, bytes, full, alone := 0, 0, 0, false, false
 	rest := l.commits.ready[:0]
 	for _, a := range l.commits.ready {
 		a.queue = dropCancelled(a.queue)
@@ -130,9 +130,10 @@
 		u := accountUpdate{account: a}
 		for _, c := range a.queue {
 			first := len(batch)+len(u.changes) == 0
-			if full = !first && (entries+c.entries() > maxBatchEntries || bytes+c.bytes() > maxBatchBytes); full {
+			if full = !first && (alone || c.alone || entries+c.entries() > maxBatchEntries || bytes+c.bytes() > maxBatchBytes); full {
 				break
 			}
+			alone = c.alone
 			entries += c.entries()
 			bytes += c.bytes()
 			u.changes = append(u.changes, c)
@@ -179,6 +180,13 @@
 	l.recordCommit(err, !result.Committed)
 	for _, u := range batch {
 		switch {
+		case platform.KindOf(err) == platform.Rejected && len(batch) == 1 && len(u.changes) == 1:
+			l.finish(u, err)
+		case platform.KindOf(err) == platform.Rejected:
+			for _, c := range u.changes {
+				c.alone = true
+			}
+			l.retry(u, nil)
 		case err != nil:
 			if !platform.KindOf(err).HadNoEffect() {
 				// The transaction may have been applied, or may still be applied later.
--- a/internal/process/ledger/commit_test.go
+++ b/internal/process/ledger/commit_test.go
@@ -134,3 +134,51 @@
 	store.reject.Store(false)
 	require.Zero(t, openAll(t, l, 50, 5*time.Second))
 }
+
+// rejectingStore rejects each transaction that writes the account of a program.
+type rejectingStore struct {
+	platform.PartitionedStore
+	program turntree.Group
+	calls   atomic.Int32
+}
+
+func (s *rejectingStore) Transact(ctx context.Context, tx platform.PartitionTx) (platform.PartitionTxResult, error) {
+	s.calls.Add(1)
+	for _, w := range tx.Writes {
+		if w.Key.Key == string(s.program) {
+			return platform.PartitionTxResult{}, &platform.Error{Kind: platform.Rejected, Op: "transact", Err: errors.New("status 400")}
+		}
+	}
+	return s.PartitionedStore.Transact(ctx, tx)
+}
+
+// TestRejectedChangeFailsAlone guards against a change that the store refuses for its size or
+// form and that is repeated until its time limit, or that fails the changes that share its
+// transaction.
+func TestRejectedChangeFailsAlone(t *testing.T) {
+	store := &rejectingStore{PartitionedStore: connection.NewStoreClient(platformtest.NewStore(t).Address(), 0), program: group("p0")}
+	o := options
+	o.Rate = func() float64 { return 100 }
+	begun := time.Now()
+	require.EqualValues(t, 1, openAll(t, ledger.New(t.Context(), store, o), 80, 20*time.Second))
+	require.Less(t, time.Since(begun), 10*time.Second, "the rejected change waited for its time limit")
+	require.LessOrEqual(t, store.calls.Load(), int32(120))
+}
+
+// TestTurnIDsThatCannotBeStored guards against a turn that runs although its id does not fit into
+// a key of the store, or is read as that of another turn.
+func TestTurnIDsThatCannotBeStored(t *testing.T) {
+	store := platformtest.NewStore(t)
+	for id, valid := range map[string]bool{
+		"9c41d07be2a35f68": true, strings.Repeat("x", 170): true, "a/b c": true, "é": true,
+		"": false, strings.Repeat("x", 171): false, "a#0001": false, "a\xff": false,
+	} {
+		require.Equal(t, valid, ledger.CheckTurnID(id) == nil, "%q", id)
+		if valid {
+			runTurn(t, vm(t, store), "p", "", id, strings.Repeat("x", 100_000))
+			_, err := vm(t, store).History(t.Context(), group("q"), customer, id)
+			require.NoError(t, err)
+		}
+	}
+	require.Zero(t, store.Refused())
+}
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -13,8 +13,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
@@ -55,6 +57,21 @@
 // budget. The decision was made on the stored account, and the turn has no reservation.
 var ErrBudgetExceeded = errors.New("the program's budget does not hold the turn")
 
+// ErrTurnID means that a turn with the id cannot be stored.
+var ErrTurnID = errors.New("an id of a turn has 1 to 170 bytes of UTF-8 and no \"#\"")
+
+// maxTurnID is the largest length of a turn's id in bytes: the store's keys have at most 200,
+// and the key of a row has the group and the number of the row as well.
+const maxTurnID = 170
+
+// CheckTurnID returns ErrTurnID if no turn with the id can be stored.
+func CheckTurnID(id string) error {
+	if id == "" || len(id) > maxTurnID || !utf8.ValidString(id) || strings.Contains(id, chunkSeparator) {
+		return ErrTurnID
+	}
+	return nil
+}
+
 // ErrTurnNotFound means that the store has no turn of the customer with the given id.
 var ErrTurnNotFound = errors.New("no such turn")
 
--- a/internal/process/platform/partitioned.go
+++ b/internal/process/platform/partitioned.go
@@ -14,8 +14,14 @@
 // later.
 const Overloaded ErrorKind = "overloaded"
 
+// Rejected means that the service refused the call for its size or form. The call certainly had
+// no effect, and to repeat it is no use.
+const Rejected ErrorKind = "rejected"
+
 // HadNoEffect reports whether the failed call certainly had no effect.
-func (k ErrorKind) HadNoEffect() bool { return k == NotApplied || k == Overloaded }
+func (k ErrorKind) HadNoEffect() bool {
+	return k == NotApplied || k == Overloaded || k == Rejected
+}
 
 // Limits of a PartitionedStore.
 const (
--- a/internal/process/storepath/storepath.go
+++ b/internal/process/storepath/storepath.go
@@ -170,7 +170,7 @@
 	}
 	reply, err := makeCall(ctx, p.direct, c)
 	if err != nil {
-		if platform.KindOf(err) != platform.Overloaded {
+		if kind := platform.KindOf(err); kind != platform.Overloaded && kind != platform.Rejected {
 			p.markDirectFailed()
 		}
 		return Reply{Failed: platform.KindOf(err), Reason: err.Error()}
@@ -223,7 +223,7 @@
 		case err == nil:
 			p.overloads.Store(0)
 			return reply, nil
-		case platform.KindOf(err) == platform.HistoryGone:
+		case platform.KindOf(err) == platform.HistoryGone, platform.KindOf(err) == platform.Rejected:
 			return reply, err
 		case platform.KindOf(err) == platform.Overloaded:
 			return p.retryOverloaded(ctx, c, err)
--- a/internal/process/storepath/storepath_test.go
+++ b/internal/process/storepath/storepath_test.go
@@ -289,3 +289,22 @@
 func (n namedProxy) VM() string { return n.vm }
 
 func (n namedProxy) Make(ctx context.Context, _ Call) (Reply, error) { return n.call(ctx) }
+
+// TestRejectedCallIsNotRepeated guards against a call that the store refuses for its size or form
+// and that the path takes for a loss of the store: it was repeated at every VM, and each of them
+// gave up its direct path.
+func TestRejectedCallIsNotRepeated(t *testing.T) {
+	other, otherStore := newPath()
+	path, store := newPath(pathProxy{path: other})
+	rejected := &platform.Error{Kind: platform.Rejected, Op: "transact", Err: errors.New("status 400")}
+	store.err.Store(rejected)
+	otherStore.err.Store(rejected)
+	_, err := path.Transact(t.Context(), platform.PartitionTx{})
+	require.Equal(t, platform.Rejected, platform.KindOf(err))
+	require.EqualValues(t, 1, store.calls.Load())
+	require.Zero(t, otherStore.calls.Load())
+	require.Equal(t, Direct, path.State())
+
+	require.Equal(t, platform.Rejected, other.Serve(t.Context(), Call{Transact: &platform.PartitionTx{}}).Failed)
+	require.Equal(t, Direct, other.State())
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -18,6 +18,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/replica"
 	"hornbeamvale.example/hornbeamvale/internal/process/storepath"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
@@ -250,6 +251,14 @@
 	if p.ID == "" {
 		x.group = turntree.GroupOfTurn(x.owner, x.request.ID)
 	}
+	if x.route.KeepsHistory {
+		if err := ledger.CheckTurnID(x.request.ID); err != nil {
+			return refusal.New(refusal.BadRequest, "%v", err)
+		}
+		if p.Parent != "" && ledger.CheckTurnID(p.Parent) != nil {
+			return refusal.New(refusal.TurnUnknown, "there is no turn %q", p.Parent)
+		}
+	}
 	if x.Store.State() == storepath.Isolated {
 		return refusal.New(refusal.StoreUnavailable, "this VM reaches neither the store nor another VM").After(isolatedRetryAfter)
 	}
@@ -285,6 +294,8 @@
 		return refusal.New(refusal.BudgetExhausted, "the program's budget of %d tokens does not hold the turn", x.request.Program.TokenBudget)
 	case errors.Is(err, ledger.ErrTurnNotFound):
 		return refusal.New(refusal.TurnUnknown, "there is no turn %q", x.request.Program.Parent)
+	case platform.KindOf(err) == platform.Rejected:
+		return refusal.New(refusal.BadRequest, "the turn cannot be stored: %v", err)
 	}
 	return refusal.New(refusal.StoreUnavailable, "%v", err).After(storeRetryAfter)
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -18,8 +18,8 @@
 const (
 	// maxEventBytes is the largest size of one event of a stream.
 	maxEventBytes = 1 << 20
-	// maxTurnBytes is the largest output of a turn that is recorded. It is the largest
-	// transaction of the platform's store.
+	// maxTurnBytes is the largest output of a turn that is recorded. It bounds the memory that
+	// the output takes until then.
 	maxTurnBytes = 1 << 20
 	// unreadTime is the shortest wait for a caller to read after which a replica may have cut
 	// off its answer. Replicas do it after some seconds.
