relay: Refuse a turn that was not recorded while its answer has not begun

Cause: the head of an answer with a stated length was written before its events. Nothing of it was sent, since a connection to a caller buffers 4 KB, but no refusal was possible any more.

Change: the head of such an answer is written with the first events that are sent, and up to 4 KB of its events wait for the record. Until then the caller gets 502, or 504 at the time limit, which promise nothing; the body says that the turn has run.

--- a/cmd/hornbeamvaled/brokenanswer_test.go
+++ b/cmd/hornbeamvaled/brokenanswer_test.go
@@ -206,3 +206,45 @@
 		})
 	}
 }
+
+// TestTurnThatIsNotRecordedEndsWithARefusal guards against a turn that has run, was not recorded,
+// and whose connection is closed without a byte although nothing of its answer was sent.
+func TestTurnThatIsNotRecordedEndsWithARefusal(t *testing.T) {
+	fleet := newRawFleet(t)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(rawBody))
+	for name, c := range map[string]struct {
+		steps []connection.Step
+		begun bool
+	}{
+		"stated length":      {steps: []connection.Step{connection.Send(rawHead + length + "\r\n" + rawBody)}},
+		"cut, stated length": {steps: []connection.Step{connection.Send(rawHead + length + "\r\n" + rawBody[:20]), connection.Reset}},
+		"no length":          {steps: []connection.Step{connection.Send(rawHead + "\r\n" + rawBody), connection.End}, begun: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet.t = t
+			for vm := range fleet.vms {
+				send := func(body string) reply {
+					return fleet.send(vm, "POST", "/chat/1", []byte(body), "Hornbeamvale-Program-Id", fmt.Sprint(name, vm), "Hornbeamvale-Token-Usage", "100,50")
+				}
+				fleet.restartReplicas()
+				fleet.setAnswer(connection.ReadBody, connection.Send(rawHead+length+"\r\n"+rawBody))
+				fleet.eventually(func() bool { return send("calm").status == 200 }) // the store is back
+				fleet.setAnswer(append([]connection.Step{connection.ReadBody, connection.Pause(300 * time.Millisecond)}, c.steps...)...)
+				answer := make(chan reply)
+				go func() { answer <- send(name) }()
+				time.Sleep(150 * time.Millisecond)
+				fleet.store.SetDown(true)
+				got := <-answer
+				fleet.store.SetDown(false)
+				if c.begun {
+					require.Equal(t, 200, got.status, "%q", got.body)
+					require.Error(t, got.err, "an answer that is not recorded must not look complete")
+					continue
+				}
+				require.NoError(t, got.err)
+				require.Contains(t, []int{502, 504}, got.status, "%q", got.body)
+				require.Equal(t, 1, fleet.received(got.id))
+			}
+		})
+	}
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -12,6 +12,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/process/clock"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
+	"hornbeamvale.example/hornbeamvale/internal/version/refusal"
 	"hornbeamvale.example/hornbeamvale/internal/version/routing"
 )
 
@@ -21,6 +22,9 @@
 	// maxTurnBytes is the largest output of a turn that is recorded. It bounds the memory that
 	// the output takes until then.
 	maxTurnBytes = 1 << 20
+	// maxHeldBack is how much of an answer with a stated length waits for its end, so that a
+	// refusal is possible until then. The buffer of a connection to a caller has that size.
+	maxHeldBack = 4 << 10
 	// unreadTime is the shortest wait for a caller to read after which a replica may have cut
 	// off its answer. Replicas do it after some seconds.
 	unreadTime = time.Second
@@ -42,19 +46,33 @@
 	replicaEvents int           // events with data, from the present replica
 	memory        streamMemory  // of output, heldBack and the event that is read
 	longestWrite  time.Duration // that waited for the caller to read
-	heldBack      []byte        // the latest event of an answer with a stated length, sent after the turn is recorded
+	// heldBack are the first events, up to maxHeldBack, and later the latest event of an answer
+	// with a stated length. They are sent after the turn is recorded.
+	heldBack []byte
+	begun    bool // the caller was sent the head of the answer
+}
+
+// holdBack holds back an event of an answer with a stated length and returns what need not be
+// held back any more.
+func (s *streamState) holdBack(event []byte) (released []byte) {
+	if !s.begun && len(s.heldBack)+len(event) <= maxHeldBack {
+		s.heldBack = append(s.heldBack, event...)
+		return nil
+	}
+	released, s.heldBack = s.heldBack, event
+	return released
 }
 
 // stream relays a model's events as they arrive and records the turn before the answer
 // ends. If the replica breaks off a stream that may be resumed, another replica goes on
 // with it.
 func (x *exchange) stream(a *attempt, prompt []byte) {
-	if err := x.answer.Begin(a.reply.Status, a.reply.Headers, a.reply.Length); err != nil {
+	s := streamState{memory: streamMemory{pool: x.StreamMemory}}
+	defer s.memory.release()
+	if a.reply.Length < 0 && x.begin(a, &s) != nil {
 		x.outcome = "caller lost"
 		return
 	}
-	s := streamState{memory: streamMemory{pool: x.StreamMemory}}
-	defer s.memory.release()
 	for {
 		err := x.relayEvents(a, &s)
 		if err == nil {
@@ -90,23 +108,21 @@
 			case ownFault:
 				x.outcome = "stream ended for lack of memory"
 			}
-			x.answer.Abort()
+			x.endUnfinished(&s, refusal.New(refusal.EndpointFailed, "the replica broke off its answer: %v", err).WithRun(refusal.Unknown))
 			return
 		}
 		defer x.endAttempt(next)
 		a = next
 	}
 	x.noteSuccess()
-	if !x.recordTurn(a, s.output.Bytes()) {
+	if err := x.recordTurn(a, s.output.Bytes()); err != nil {
 		x.outcome = "turn not recorded"
-		x.answer.Abort()
+		x.endUnfinished(&s, refusal.New(refusal.StoreUnavailable, "the turn has run and was not recorded: %v", err).WithRun(refusal.Ran))
 		return
 	}
 	x.outcome = "answered"
-	if len(s.heldBack) > 0 {
-		if err := x.answer.Write(s.heldBack); err != nil {
-			x.outcome = "caller lost"
-		}
+	if x.begin(a, &s) != nil || len(s.heldBack) > 0 && x.answer.Write(s.heldBack) != nil {
+		x.outcome = "caller lost"
 	}
 	if s.replicaEvents > 1 {
 		a.end.UnitTime = s.latest.Sub(s.first) / time.Duration(s.replicaEvents-1)
@@ -117,6 +133,30 @@
 	a.end.ConnectionReusable = true
 }
 
+// begin sends the head of the answer unless that was done.
+func (x *exchange) begin(a *attempt, s *streamState) error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	return x.answer.Begin(a.reply.Status, a.reply.Headers, a.reply.Length)
+}
+
+// endUnfinished ends an answer that cannot be completed: with a refusal, or incomplete if it has
+// begun.
+func (x *exchange) endUnfinished(s *streamState, why *refusal.Refusal) {
+	if s.begun {
+		x.answer.Abort()
+		return
+	}
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		why = x.timeLimitRefusal(why.Run)
+	}
+	outcome := x.outcome
+	x.refuse(why)
+	x.outcome = outcome
+}
+
 var errCallerLost = errors.New("the caller has disconnected")
 
 // relayEvents relays the events of one replica until its stream ends. It returns
@@ -153,7 +193,7 @@
 			return errEventMany
 		}
 		if a.reply.Length >= 0 {
-			event.raw, s.heldBack = s.heldBack, event.raw
+			event.raw = s.holdBack(event.raw)
 		}
 		if event.hasData {
 			s.events++
@@ -168,7 +208,7 @@
 			continue
 		}
 		begun := clock.Now()
-		if x.write(event.raw) != nil {
+		if x.begin(a, s) != nil || x.write(event.raw) != nil {
 			return errCallerLost
 		}
 		s.longestWrite = max(s.longestWrite, clock.Since(begun))
@@ -215,10 +255,10 @@
 	return nil
 }
 
-// recordTurn makes the turn durable. It reports whether the answer may end.
-func (x *exchange) recordTurn(a *attempt, output []byte) bool {
+// recordTurn makes the turn durable. The answer must not end if it returns an error.
+func (x *exchange) recordTurn(a *attempt, output []byte) error {
 	if !x.route.KeepsHistory || x.group == "" {
-		return true
+		return nil
 	}
 	defer measure(&x.steps.record, clock.Now())
 	err := x.Ledger.Record(x.ctx, ledger.RecordRequest{
@@ -230,10 +270,10 @@
 	})
 	if err != nil {
 		x.Log.Request("Turn could not be recorded", "id", x.request.ID, "customer", x.owner, "program", x.request.Program.ID, "tokens", x.tokens, "err", err)
-		return false
+		return err
 	}
 	x.reserved = false
-	return true
+	return nil
 }
 
 // event is one server-sent event.
