ledger: Let the entry VM read a history that is too large for a message

Seen by callers: none shown; found by looking at long lines on related paths. A line of over 1 MB went on only after two homes had failed to send its history, which took up to 0.8 s of the 0.8 s that a turn waits for the store, and both homes counted as unresponsive for seconds.

Cause: a home sends the history in one message, which holds at most 1 MiB.

Change: a home leaves out a history of over 768 KiB if the caller says that it reads it itself.

Result: TestLongHistoryIsNotSentByTheHome fails without the change (2 changes without a home) and passes with it.

--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -31,10 +31,21 @@
 	// InGroup is set if the group of the new turn has all these turns, whatever group they
 	// were read from.
 	InGroup bool `msgpack:"s,omitempty"`
+	// Omitted is set by a home that does not send the turns, since they are too large.
+	Omitted bool `msgpack:"o,omitempty"`
 }
 
 func (h History) Len() int { return len(h.Turns) }
 
+// size returns the approximate size of the history in bytes.
+func (h History) size() int {
+	n := 0
+	for _, t := range h.Turns {
+		n += t.size()
+	}
+	return n
+}
+
 // LastReplica returns the replica that answered the last turn, or "" if it is unknown.
 func (h History) LastReplica() string {
 	if len(h.Turns) == 0 {
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -26,6 +26,9 @@
 	// homeTimeouts until it is dropped from the fleet after 10 s.
 	minHomeBackoff = 2 * time.Second
 	maxHomeBackoff = 8 * time.Second
+	// maxSentHistory is the largest history that a home sends, in bytes. It is below the
+	// largest frame between VMs.
+	maxSentHistory = 768 << 10
 	// homeRetryDelay is the wait before a home whose call to the store failed is called
 	// again. It is about ten times the usual time of a call.
 	homeRetryDelay = 40 * time.Millisecond
@@ -85,8 +88,10 @@
 	history, cached := h.local.cachedHistory(o.Customer, o.Parent)
 	o.HasHistory = cached
 	reserved := false
+	fromHome := o
+	fromHome.MayOmitHistory = true
 	err := h.runAtHome(ctx, o.Group, o.Allowed, o.Turn, func(ctx context.Context, home Home) error {
-		opened, err := home.Open(ctx, o)
+		opened, err := home.Open(ctx, fromHome)
 		if err == nil && !cached {
 			history = opened
 			h.local.cacheTurns(history.Turns...)
@@ -105,6 +110,11 @@
 		history.InGroup = opened.InGroup
 		return err
 	})
+	if err == nil && history.Omitted {
+		inGroup := history.InGroup
+		history, err = h.local.History(ctx, o.Group, o.Customer, o.Parent)
+		history.InGroup, reserved = inGroup, true
+	}
 	if errors.Is(err, ErrTurnNotFound) {
 		h.local.dropTurn(o.Parent)
 	}
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -173,6 +173,9 @@
 	Retention time.Duration `msgpack:"r,omitempty"`
 	// HasHistory is set if the caller already has the history.
 	HasHistory bool `msgpack:"h,omitempty"`
+	// MayOmitHistory is set if the caller reads a history of more than maxSentHistory itself.
+	// Callers of builds up to 7f97bc3 don't.
+	MayOmitHistory bool `msgpack:"o,omitempty"`
 	// Allowed are the regions whose VMs may be the home for this change.
 	Allowed routing.AllowedRegions `msgpack:"-"`
 }
@@ -205,6 +208,9 @@
 		l.dropTurn(o.Parent)
 	}
 	history.InGroup = parent.id != ""
+	if o.MayOmitHistory && history.size() > maxSentHistory {
+		history = History{InGroup: history.InGroup, Omitted: true}
+	}
 	return history, err
 }
 
--- a/internal/process/ledger/line_test.go
+++ b/internal/process/ledger/line_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
 	"hornbeamvale.example/hornbeamvale/internal/process/decisionlog"
 	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
@@ -289,17 +290,46 @@
 	require.Equal(t, 121, calls.records)
 }
 
-// countingHome counts the records that are made through it.
+// countingHome counts the records that are made through it. It cannot send a message of more
+// than a frame.
 type countingHome struct {
 	localHome
 	records int
 }
 
+func (c *countingHome) Open(ctx context.Context, o OpenRequest) (History, error) {
+	history, err := c.localHome.Open(ctx, o)
+	if len(history.Prompt(nil)) > peer.MaxFrame {
+		return History{}, errors.New("frame too large")
+	}
+	return history, err
+}
+
 func (c *countingHome) Record(ctx context.Context, r RecordRequest) error {
 	c.records++
 	return c.localHome.Record(ctx, r)
 }
 
+// TestLongHistoryIsNotSentByTheHome guards against a line of more bytes than a frame between VMs
+// holds: the home's answer failed, and the home and the next one counted as unresponsive.
+func TestLongHistoryIsNotSentByTheHome(t *testing.T) {
+	f := newTestFleet(t)
+	n := &line{testFleet: f, size: 500_000}
+	l := f.newVM()
+	for range 3 {
+		n.add(l, "p0")
+	}
+	entry := f.newVM()
+	home := &countingHome{localHome: localHome{f.newVM()}}
+	router := NewHomeRouter(entry, decisionlog.New(nil), func(turntree.Group, routing.AllowedRegions, func(string) bool) (Home, bool) {
+		return home, true
+	})
+	n.size = 300
+	n.record(entry, "p0", router.Open, router.Record)
+	n.record(entry, "p1", router.Open, router.Record)
+	require.Zero(t, entry.Counters().HomeFallbacks)
+}
+
 // TestShortLineCostsNoMoreThanBefore guards against calls and bytes for lines that fit into one
 // transaction. The bounds are the figures of build 7f97bc3.
 func TestShortLineCostsNoMoreThanBefore(t *testing.T) {
--- a/internal/request/fleetrpc/news_test.go
+++ b/internal/request/fleetrpc/news_test.go
@@ -24,7 +24,7 @@
 // between a build that sends news of replicas and one that doesn't know them.
 func TestNewsBetweenBuilds(t *testing.T) {
 	news := replicaNews{[]fleet.ReplicaNews{{Replica: "m1", StartedMS: 7, Leaving: true, Age: time.Second}}}
-	open := ledger.OpenRequest{Group: "g", Customer: "c", Turn: "t", Parent: "p", MaxTokens: 5, Budget: 9, Retention: time.Minute, HasHistory: true}
+	open := ledger.OpenRequest{Group: "g", Customer: "c", Turn: "t", Parent: "p", MaxTokens: 5, Budget: 9, Retention: time.Minute, HasHistory: true, MayOmitHistory: true}
 	requireBothWays(t, open, openPayload{open, news}, openPayload{OpenRequest: open})
 	record := ledger.RecordRequest{Group: "g", ID: "i", Used: 3, Retention: time.Minute, Turn: turntree.Turn{Customer: "c", Parent: "p", Input: []byte("in"), Output: []byte("out"), Replica: "r"}}
 	requireBothWays(t, record, recordPayload{record, news}, recordPayload{RecordRequest: record})
