ledger: Read the turns of a history one by one from a large program

Cause: to find a turn, a VM read all rows of its program. With 32 sub-agents at the same time no read ended within the 0.8 s that a turn waits for the store, and a read that was cut off left nothing in the cache.

Change: a read takes the first page of the program, then the turns of the history alone, and the whole program only after 16 of them. A program within a page (500 rows or 1 MB) takes the one call that it took before.

--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -22,6 +22,8 @@
 	maxWrites = platform.MaxTxEntries - 1
 	// chunkSeparator separates a turn's id from the number of a continuation row.
 	chunkSeparator = "#"
+	// afterChunks ends the range of a turn's rows: the character after chunkSeparator.
+	afterChunks = "$"
 )
 
 // History is the history that a turn continues: all turns from the first one of the
@@ -108,7 +110,7 @@
 // History returns the customer's history that ends with the turn parent. g is the group
 // of the program that continues it.
 func (l *Ledger) History(ctx context.Context, g turntree.Group, customer, parent string) (History, error) {
-	reader := historyReader{Ledger: l, turns: map[string]StoredTurn{}, groups: map[turntree.Group]bool{}}
+	reader := historyReader{Ledger: l, turns: map[string]StoredTurn{}, groups: map[turntree.Group]groupRead{}}
 	history, err := collectHistory(g, customer, parent, func(g turntree.Group, id string) (StoredTurn, error) {
 		return reader.find(ctx, g, id)
 	})
@@ -148,10 +150,27 @@
 // more than the cache holds.
 type historyReader struct {
 	*Ledger
-	turns  map[string]StoredTurn   // by id
-	groups map[turntree.Group]bool // that were read
+	turns map[string]StoredTurn // by id
+	// groups are those that were read: whole, or the first page of their rows.
+	groups map[turntree.Group]groupRead
+	// singleReads is the number of turns that were read without their group.
+	singleReads int
 }
 
+// groupRead is how much of a group was read.
+type groupRead int
+
+const (
+	groupUnread groupRead = iota
+	groupFirstPage
+	groupWhole
+)
+
+// maxSingleReads is the largest number of turns of a history that are read one by one from groups
+// with more rows than a page, before such a group is read whole: one call reads a turn, or the
+// many turns of a page.
+const maxSingleReads = 16
+
 // find returns a turn from the cache, from its probable group in the store, or by means
 // of the index.
 func (r *historyReader) find(ctx context.Context, g turntree.Group, id string) (StoredTurn, error) {
@@ -177,20 +196,86 @@
 	return StoredTurn{}, ErrTurnNotFound
 }
 
-// readTurn returns a turn from the rows of a group, which it reads unless that was done.
+// readTurn returns a turn from the rows of a group. It reads the first page of the group, which
+// usually has all its rows, and beyond that the turn alone: the group of a program with many or
+// large turns takes longer to read than a request can wait.
 func (r *historyReader) readTurn(ctx context.Context, g turntree.Group, id string) (StoredTurn, bool, error) {
-	if !r.groups[g] {
-		turns, err := r.loadGroup(ctx, g)
-		if err != nil {
-			return StoredTurn{}, false, err
+	for {
+		switch {
+		case r.groups[g] == groupUnread:
+			whole, err := r.loadGroup(ctx, g, true)
+			if err != nil {
+				return StoredTurn{}, false, err
+			}
+			r.groups[g] = whole
+		case r.groups[g] == groupFirstPage && r.singleReads < maxSingleReads:
+			r.singleReads++
+			key := turnKey(g, id)
+			page, err := r.readRows(ctx, platform.RangeQuery{Table: programTable, Part: g.Partition(), From: key, To: key + afterChunks})
+			if err != nil {
+				return StoredTurn{}, false, err
+			}
+			err = r.keepTurns(g, page)
+			t, ok := r.turns[id]
+			return t, ok, err
+		case r.groups[g] == groupFirstPage:
+			whole, err := r.loadGroup(ctx, g, false)
+			if err != nil {
+				return StoredTurn{}, false, err
+			}
+			r.groups[g] = whole
 		}
-		r.groups[g] = true
-		for _, t := range turns {
-			r.turns[t.ID] = t
+		if t, ok := r.turns[id]; ok || r.groups[g] == groupWhole {
+			return t, ok, nil
 		}
 	}
-	t, ok := r.turns[id]
-	return t, ok, nil
+}
+
+// keepTurns keeps the turns of a page of a group and adds them to the cache. The last one of a
+// page that others follow may lack rows.
+func (r *historyReader) keepTurns(g turntree.Group, page platform.Page) error {
+	parsed := parseGroup(g, page.Rows)
+	if page.More {
+		id, _ := turnID(g, page.Rows[len(page.Rows)-1].Key.Key)
+		delete(parsed.turns, id)
+	}
+	var turns []StoredTurn
+	for id, t := range parsed.turns {
+		if !t.stored {
+			continue
+		}
+		if t.err != nil {
+			return fmt.Errorf("turn %s: %w", id, t.err)
+		}
+		turns = append(turns, StoredTurn{ID: id, Group: g, Turn: t.turn, revision: t.rows[0].Revision})
+		r.turns[id] = turns[len(turns)-1]
+	}
+	r.cacheTurns(turns...)
+	return nil
+}
+
+// loadGroup reads a group, or the first page of its rows, and its account if this VM has no copy
+// of it. It returns how much was read.
+func (r *historyReader) loadGroup(ctx context.Context, g turntree.Group, firstPage bool) (groupRead, error) {
+	query := groupQuery(g)
+	query.FirstPage = firstPage
+	page, err := r.readRows(ctx, query)
+	if err != nil {
+		return groupUnread, err
+	}
+	if err := r.keepTurns(g, page); err != nil {
+		return groupUnread, err
+	}
+	read := groupWhole
+	if page.More {
+		read = groupFirstPage
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.account(g); !a.busy && !a.known {
+		return read, r.setFromRows(a, page.Rows)
+	}
+	return read, nil
 }
 
 // findGroups returns the groups that the index names for a turn, usually one; none if the
@@ -227,36 +312,19 @@
 	return slices.DeleteFunc(page.Rows, func(r platform.Row) bool { return r.Key.Key != id && r.Key.Key != second }), err
 }
 
+// groupQuery selects all rows of a group. The row of the account is the first.
+func groupQuery(g turntree.Group) platform.RangeQuery {
+	return platform.RangeQuery{Table: programTable, Part: g.Partition(), From: string(g), To: string(g) + "0"}
+}
+
 // readGroup reads all rows of a group.
 func (l *Ledger) readGroup(ctx context.Context, g turntree.Group) (platform.Page, error) {
-	l.count(func(c *Counters) { c.Reads++ })
-	return l.store.Range(ctx, platform.RangeQuery{Table: programTable, Part: g.Partition(), From: string(g), To: string(g) + "0"})
+	return l.readRows(ctx, groupQuery(g))
 }
 
-// loadGroup returns a group's turns. It adds them to the cache, and the group's account if
-// this VM has no copy of it.
-func (l *Ledger) loadGroup(ctx context.Context, g turntree.Group) ([]StoredTurn, error) {
-	page, err := l.readGroup(ctx, g)
-	if err != nil {
-		return nil, err
-	}
-	var turns []StoredTurn
-	for id, t := range parseGroup(g, page.Rows).turns {
-		if !t.stored {
-			continue
-		}
-		if t.err != nil {
-			return nil, fmt.Errorf("turn %s: %w", id, t.err)
-		}
-		turns = append(turns, StoredTurn{ID: id, Group: g, Turn: t.turn, revision: t.rows[0].Revision})
-	}
-	l.cacheTurns(turns...)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if a := l.account(g); !a.busy && !a.known {
-		return turns, l.setFromRows(a, page.Rows)
-	}
-	return turns, nil
+func (l *Ledger) readRows(ctx context.Context, q platform.RangeQuery) (platform.Page, error) {
+	l.count(func(c *Counters) { c.Reads++ })
+	return l.store.Range(ctx, q)
 }
 
 // turnID returns the id of the turn that a group's row belongs to; false for the row of
--- a/internal/process/ledger/line_test.go
+++ b/internal/process/ledger/line_test.go
@@ -354,3 +354,62 @@
 	require.LessOrEqual(t, calls, 18)
 	require.LessOrEqual(t, received, 13554)
 }
+
+// countingReads counts the calls and bytes of reads.
+type countingReads struct {
+	platform.PartitionedStore
+	calls, bytes atomic.Int64
+}
+
+func (s *countingReads) Range(ctx context.Context, q platform.RangeQuery) (platform.Page, error) {
+	page, err := s.PartitionedStore.Range(ctx, q)
+	s.calls.Add(1)
+	for _, r := range page.Rows {
+		s.bytes.Add(int64(len(r.Value)))
+	}
+	return page, err
+}
+
+// TestHistoryInALargeProgram guards against a request that reads all turns of a large program for
+// the few of its history, which took longer than it could wait, and against a call for each turn
+// of a long history.
+func TestHistoryInALargeProgram(t *testing.T) {
+	for name, c := range map[string]struct {
+		turns, size  int
+		line         bool // each turn continues the one before, else the first one
+		length       int
+		calls, pages int64 // that the read may take; a page has 1 MB
+	}{
+		"sub-agents with large turns": {turns: 8, size: 600_000, length: 2, calls: 3, pages: 3},
+		"long line":                   {turns: 250, size: 8_000, line: true, length: 250, calls: 18, pages: 4},
+		"small program":               {turns: 9, size: 5_000, line: true, length: 9, calls: 1, pages: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			l := f.newVM()
+			l.turns = newTurnCache(64 << 20) // holds the whole program
+			n := &line{testFleet: f, size: c.size}
+			for i := range c.turns {
+				if !c.line && i > 0 {
+					n.cutTo(1)
+				}
+				o, r := n.next("p")
+				o.Turn, r.ID = fmt.Sprintf("%04d", i), fmt.Sprintf("%04d", i)
+				var err error
+				r.History, err = l.Open(t.Context(), o)
+				require.NoError(t, err)
+				require.NoError(t, l.Record(t.Context(), r))
+				n.turns = append(n.turns, r.ID)
+				n.prompts = append(n.prompts, nil)
+			}
+			reader := f.newVM()
+			store := &countingReads{PartitionedStore: reader.store}
+			reader.store = store
+			history, err := reader.History(t.Context(), turntree.GroupOf("parish", "p"), "parish", n.turns[len(n.turns)-1])
+			require.NoError(t, err)
+			require.Equal(t, c.length, history.Len())
+			require.LessOrEqual(t, store.calls.Load(), c.calls)
+			require.LessOrEqual(t, store.bytes.Load(), c.pages*1_000_000)
+		})
+	}
+}
--- a/internal/process/platform/partitioned.go
+++ b/internal/process/platform/partitioned.go
@@ -33,7 +33,12 @@
 
 // RangeQuery selects the rows of one partition of a table with From <= key < To. An
 // empty To means no upper bound.
-type RangeQuery struct{ Table, Part, From, To string }
+type RangeQuery struct {
+	Table, Part, From, To string
+	// FirstPage asks for the rows of the store's first reply only. VMs of builds up to 7f97bc3
+	// return all rows.
+	FirstPage bool `msgpack:",omitempty"`
+}
 
 // Page is a consistent read of rows.
 type Page struct {
@@ -43,6 +48,8 @@
 	// StoreClock is what the store's steady clock showed then, since a fixed time in the
 	// past; 0 if it is unknown, as it is through a VM of a build before this field.
 	StoreClock time.Duration `msgpack:",omitempty"`
+	// More is set if rows of the range follow, which only happens with FirstPage.
+	More bool `msgpack:",omitempty"`
 }
 
 // PartitionTx is a transaction over the rows of one partition. The store applies the
