relay: Name the time limit when a request ends before its answer has begun

Cause: a request that a planned stop ends before its answer has begun, or whose caller has left, got the refusal of a replica that broke off its answer. Found by reading the diff.

Change: any end of the request's context counts as its time limit in that refusal (504).

No run with processes shows the case.

--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -203,11 +203,11 @@
 	for {
 		switch {
 		case r.groups[g] == groupUnread:
-			whole, err := r.loadGroup(ctx, g, true)
+			read, err := r.loadGroup(ctx, g, true)
 			if err != nil {
 				return StoredTurn{}, false, err
 			}
-			r.groups[g] = whole
+			r.groups[g] = read
 		case r.groups[g] == groupFirstPage && r.singleReads < maxSingleReads:
 			r.singleReads++
 			key := turnKey(g, id)
@@ -219,11 +219,11 @@
 			t, ok := r.turns[id]
 			return t, ok, err
 		case r.groups[g] == groupFirstPage:
-			whole, err := r.loadGroup(ctx, g, false)
+			read, err := r.loadGroup(ctx, g, false)
 			if err != nil {
 				return StoredTurn{}, false, err
 			}
-			r.groups[g] = whole
+			r.groups[g] = read
 		}
 		if t, ok := r.turns[id]; ok || r.groups[g] == groupWhole {
 			return t, ok, nil
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -149,7 +149,7 @@
 		x.answer.Abort()
 		return
 	}
-	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+	if x.ctx.Err() != nil {
 		why = x.timeLimitRefusal(why.Run)
 	}
 	outcome := x.outcome
