--- a/internal/request/fleetrpc/news_test.go
+++ b/internal/request/fleetrpc/news_test.go
@@ -9,6 +9,7 @@
 	"hornbeamvale.example/hornbeamvale/internal/connection/peer"
 	"hornbeamvale.example/hornbeamvale/internal/process/fleet"
 	"hornbeamvale.example/hornbeamvale/internal/process/ledger"
+	"hornbeamvale.example/hornbeamvale/internal/process/platform"
 	"hornbeamvale.example/hornbeamvale/internal/process/turntree"
 )
 
@@ -54,3 +55,46 @@
 	require.NoError(t, peer.Decode(data, &fromEarlier))
 	require.Equal(t, without, fromEarlier)
 }
+
+// Messages of build 7f97bc3.
+type (
+	openOf7f97bc3 struct {
+		Group      turntree.Group `msgpack:"g"`
+		Turn       string         `msgpack:"t"`
+		HasHistory bool           `msgpack:"h,omitempty"`
+	}
+	turnOf7f97bc3 struct {
+		ID    string         `msgpack:"i"`
+		Group turntree.Group `msgpack:"g"`
+		Turn  struct {
+			Customer string `msgpack:"c"`
+			Input    []byte `msgpack:"i"`
+		} `msgpack:"t"`
+	}
+	historyOf7f97bc3 struct {
+		Turns []turnOf7f97bc3 `msgpack:"t,omitempty"`
+	}
+	rangeOf7f97bc3 struct{ Table, Part, From, To string }
+	pageOf7f97bc3  struct {
+		Rows     []platform.Row
+		Revision uint64
+	}
+)
+
+// TestMessagesBesideTheBuildBefore guards against fields of histories and reads that build 7f97bc3
+// misreads, and against a history that is left out for a VM that does not read it itself.
+func TestMessagesBesideTheBuildBefore(t *testing.T) {
+	requireBothWays(t, openOf7f97bc3{"g", "t", true},
+		ledger.OpenRequest{Group: "g", Turn: "t", HasHistory: true, MayOmitHistory: true}, ledger.OpenRequest{Group: "g", Turn: "t", HasHistory: true})
+
+	var before turnOf7f97bc3
+	before.ID, before.Group, before.Turn.Customer, before.Turn.Input = "1", "g", "c", []byte("in")
+	now := func(copied bool) []ledger.StoredTurn {
+		return []ledger.StoredTurn{{ID: "1", Group: "g", Turn: turntree.Turn{Customer: "c", Input: []byte("in"), Copied: copied}}}
+	}
+	requireBothWays(t, historyOf7f97bc3{[]turnOf7f97bc3{before}}, ledger.History{Turns: now(true), InGroup: true}, ledger.History{Turns: now(false)})
+
+	requireBothWays(t, rangeOf7f97bc3{"t", "p", "a", "b"},
+		platform.RangeQuery{Table: "t", Part: "p", From: "a", To: "b", FirstPage: true}, platform.RangeQuery{Table: "t", Part: "p", From: "a", To: "b"})
+	requireBothWays(t, pageOf7f97bc3{Revision: 3}, platform.Page{Revision: 3, More: true}, platform.Page{Revision: 3})
+}
