ledger: Look for a turn elsewhere if the rows it was cached from are deleted

Seen by callers: a program that has expired and continues a kept turn of another program once more gets 404.

Cause: a VM that had read the program before knew the kept turn as one of the program's own group. The reservation has the condition that the parent's row is there, which is deleted with the program, and its failure ended in "no such turn" although the turn's own program has it.

Change: after such a failure the turn leaves the cache and is looked up in the store once more. A history whose last turn turns out not to be in the group is copied whole.

--- a/internal/process/ledger/history.go
+++ b/internal/process/ledger/history.go
@@ -88,6 +88,18 @@
 	return h.Turns[first:]
 }
 
+// setInGroup notes whether the group g has the history. Where it has not, although the last turn
+// was read from it, the rows of the group were deleted since, and it lacks all turns.
+func (h *History) setInGroup(g turntree.Group, inGroup bool) {
+	h.InGroup = inGroup
+	if inGroup || len(h.Turns) == 0 || h.Turns[len(h.Turns)-1].Group != g {
+		return
+	}
+	for i := range h.Turns {
+		h.Turns[i].Group = ""
+	}
+}
+
 // extends reports whether the history goes back to its first turn and has turns before the
 // given last ones.
 func (h History) extends(last []StoredTurn) bool {
--- a/internal/process/ledger/homes.go
+++ b/internal/process/ledger/homes.go
@@ -96,7 +96,7 @@
 			history = opened
 			h.local.cacheTurns(history.Turns...)
 		}
-		history.InGroup = opened.InGroup
+		history.setInGroup(o.Group, opened.InGroup)
 		var storeErr *StoreError
 		if !errors.As(err, &storeErr) || storeErr.Reserved {
 			reserved = true // the home may have reserved the tokens although its answer was lost
@@ -107,13 +107,14 @@
 		if err == nil && !cached {
 			history = opened
 		}
-		history.InGroup = opened.InGroup
+		history.setInGroup(o.Group, opened.InGroup)
 		return err
 	})
 	if err == nil && history.Omitted {
 		inGroup := history.InGroup
 		history, err = h.local.History(ctx, o.Group, o.Customer, o.Parent)
-		history.InGroup, reserved = inGroup, true
+		history.setInGroup(o.Group, inGroup)
+		reserved = true
 	}
 	if errors.Is(err, ErrTurnNotFound) {
 		h.local.dropTurn(o.Parent)
--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -191,11 +191,27 @@
 			return History{}, err
 		}
 	}
+	parent, err := l.reserve(ctx, o)
+	if errors.Is(err, ErrTurnNotFound) {
+		// The group's rows may have been deleted after the turn was cached from them, while
+		// another group has it.
+		l.dropTurn(o.Parent)
+		parent, err = l.reserve(ctx, o)
+	}
+	history.setInGroup(o.Group, parent.id != "")
+	if o.MayOmitHistory && history.size() > maxSentHistory {
+		history = History{InGroup: history.InGroup, Omitted: true}
+	}
+	return history, err
+}
+
+// reserve reserves the tokens of a turn. It returns the turn's parent as findParent does.
+func (l *Ledger) reserve(ctx context.Context, o OpenRequest) (parentTurn, error) {
 	parent, err := l.findParent(ctx, o.Group, o.Parent)
 	if err != nil {
-		return History{}, &Error{Op: "read", Turn: o.Parent, Err: err}
+		return parentTurn{}, &Error{Op: "read", Turn: o.Parent, Err: err}
 	}
-	err = l.change(ctx, o.Group, o.Parent == "", &change{
+	return parent, l.change(ctx, o.Group, o.Parent == "", &change{
 		op: "reserve", turn: o.Turn, reserves: true, retention: o.Retention, parent: parent,
 		apply: func(a *turntree.Account) error {
 			if !a.Reserve(o.Turn, o.MaxTokens, o.Budget) {
@@ -204,14 +220,6 @@
 			return nil
 		},
 	})
-	if errors.Is(err, ErrTurnNotFound) {
-		l.dropTurn(o.Parent)
-	}
-	history.InGroup = parent.id != ""
-	if o.MayOmitHistory && history.size() > maxSentHistory {
-		history = History{InGroup: history.InGroup, Omitted: true}
-	}
-	return history, err
 }
 
 // SettleRequest is a request to replace a turn's reservation by the number of tokens that
--- a/internal/process/ledger/parent_test.go
+++ b/internal/process/ledger/parent_test.go
@@ -95,6 +95,34 @@
 	}
 }
 
+// TestProgramReturnsToAKeptTurn guards against a program that has expired, continues a kept turn of
+// another program once more, and gets 404 since a VM has the turn in memory from its rows.
+func TestProgramReturnsToAKeptTurn(t *testing.T) {
+	for _, atHome := range []bool{false, true} {
+		f := newTestFleet(t)
+		l, reader, entry := f.newVM(), f.newVM(), f.newVM()
+		require.NoError(t, f.runTurn(l, "kept", "", "1", longRetention))
+		require.NoError(t, f.runTurn(l, "kept", "1", "2", longRetention))
+		require.NoError(t, f.runTurn(l, "visitor", "2", "v", shortRetention))
+		for _, vm := range []*Ledger{reader, entry} {
+			_, err := vm.History(t.Context(), turntree.GroupOf("parish", "visitor"), "parish", "v")
+			require.NoError(t, err)
+		}
+		f.pass(shortRetention + accountIdleTimeout + time.Second)
+		l.expire(t.Context())
+		router := NewHomeRouter(entry, decisionlog.New(nil), func(turntree.Group, routing.AllowedRegions, func(string) bool) (Home, bool) {
+			return localHome{reader}, atHome
+		})
+		open, record := turnOf("visitor", "2", "w", shortRetention)
+		var err error
+		record.History, err = router.Open(t.Context(), open)
+		require.NoError(t, err)
+		require.Equal(t, "1?1!2?2!", string(record.History.Prompt(nil)))
+		require.NoError(t, router.Record(t.Context(), record))
+		require.NoError(t, f.runTurn(f.newVM(), "visitor", "w", "x", shortRetention))
+	}
+}
+
 // TestHomeChecksTheHistoryOfItsCaller guards against a home that trusts the cached history
 // of the VM that received the request.
 func TestHomeChecksTheHistoryOfItsCaller(t *testing.T) {
