relay: Name the id in the refusal of a turn that cannot be stored

Cause: the message had the limits of an id but not the id. Found by reading the diff.

Change: the message has the id and its length, and the limit from its constant.

--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -58,7 +58,7 @@
 var ErrBudgetExceeded = errors.New("the program's budget does not hold the turn")
 
 // ErrTurnID means that a turn with the id cannot be stored.
-var ErrTurnID = errors.New("an id of a turn has 1 to 170 bytes of UTF-8 and no \"#\"")
+var ErrTurnID = fmt.Errorf("the id of a turn has 1 to %d bytes of UTF-8 and no %q", maxTurnID, chunkSeparator)
 
 // maxTurnID is the largest length of a turn's id in bytes: the store's keys have at most 200,
 // and the key of a row has the group and the number of the row as well.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -253,7 +253,7 @@
 	}
 	if x.route.KeepsHistory {
 		if err := ledger.CheckTurnID(x.request.ID); err != nil {
-			return refusal.New(refusal.BadRequest, "%v", err)
+			return refusal.New(refusal.BadRequest, "id %q of %d bytes: %v", x.request.ID, len(x.request.ID), err)
 		}
 		if p.Parent != "" && ledger.CheckTurnID(p.Parent) != nil {
 			return refusal.New(refusal.TurnUnknown, "there is no turn %q", p.Parent)
